--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -79,8 +79,17 @@
   /** Fraction. Part of the published rates that we use; the rest absorbs clock drift. */
   public static final double BUDGET_PART = 0.92;
 
-  /** Weight of a lease holder against 1 for any other controller when the budget is shared. */
-  public static final double HOLDER_WEIGHT = 3.0;
+  /** Seconds. A controller's wish for the state service's rates follows its calls at this pace. */
+  public static final double WISH_S = 2;
+
+  /** All controllers' floors together are this part, 1 in so many, of a rate: for what is new. */
+  public static final double WISH_FLOORS = 3;
+
+  /** Fraction of a second's changes that progress of jobs leaves to starts, ends, acceptance. */
+  public static final double WRITES_KEPT = 0.1;
+
+  /** Milliseconds. Pause after the state service said that we together ask too much. */
+  public static final long OVER_RATE_MS = 60;
 
   /** Bytes. Most that one transaction's values may add up to, below the service's 64 KiB. */
   public static final int TXN_BYTES = 44 * 1024;
@@ -88,6 +97,9 @@
   /** Bytes. Worst size of one placement entry in a page: host, try and task number. */
   public static final int PAGE_ENTRY_BYTES = 42;
 
+  /** Bytes. Room for one machine in a block: its name and the time of its rental, in JSON. */
+  public static final int BLOCK_ENTRY_BYTES = 48;
+
   /** Entries. Final states kept in memory; older ones are read from the state service. */
   public static final int ENDED_IN_MEMORY = 20_000;
 
@@ -146,6 +158,9 @@
   /** Points. Ring points of one machine: evens out arcs at tens of machines. */
   public static final int RING_POINTS = 24;
 
+  /** Milliseconds. Between two makings of the ring: hundreds of machines come one by one. */
+  public static final long RING_MS = 250;
+
   /** Fraction. Bound of the load on a machine; room is exact, so the whole machine may be used. */
   public static final double BOUND = 1.0;
 
@@ -164,9 +179,15 @@
   /** Milliseconds. Shortest pause between two placement rounds. */
   public static final long PLACE_MS = 40;
 
+  /** Factor on a round's duration before the next one may begin. */
+  public static final long PLACE_REST = 4;
+
   /** Milliseconds. Completions are recorded this much later, many in one write. */
   public static final long LAZY_WRITE_MS = 1500;
 
+  /** Transactions of jobs' progress that may be without an answer at a time. */
+  public static final int WRITES_OUT = 8;
+
   /** Milliseconds. Between two writes of one page for work that is not prod: fewer, fuller ones. */
   public static final long PAGE_PAUSE_MS = 350;
 
@@ -191,6 +212,9 @@
   /** Milliseconds. Work within a guarantee that waits this long may preempt borrowed room. */
   public static final long GUARANTEE_AFTER_MS = 1500;
 
+  /** Milliseconds. Between two such looks of one job: each goes over every task that runs. */
+  public static final long PREEMPT_PAUSE_MS = 400;
+
   /** Seconds. For a guarantee no more work than this is lost with a task. */
   public static final double PREEMPT_LOSS_S = 2.5;
 
--- a/src/main/java/dunlincroft/Settings.java
+++ b/src/main/java/dunlincroft/Settings.java
@@ -163,6 +163,12 @@
     return value;
   }
 
+  /** Machines of one block, so that the block fits a value: one rental's at the most. */
+  public int blockMachines() {
+    int fit = (int) (valueKb * 1024 / Constants.BLOCK_ENTRY_BYTES) - 4;
+    return Math.max(1, Math.min(Constants.MAX_HIRE, fit));
+  }
+
   /** Tasks of one page of a job's record, so that the page fits a value whatever happens. */
   public int pageTasks() {
     return Math.max(1, (int) (valueKb * 1024 / Constants.PAGE_ENTRY_BYTES));
--- /dev/null
+++ b/src/main/java/dunlincroft/bookkeeping/BlockIndex.java
@@ -0,0 +1,79 @@
+package dunlincroft.bookkeeping;
+
+import dunlincroft.bookkeeping.Replica.Item;
+import dunlincroft.protocol.BlockRecord;
+import dunlincroft.protocol.Malformed;
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Every block as the state service records it, and the block of each machine. */
+public final class BlockIndex {
+  private static final Logger LOG = LoggerFactory.getLogger(BlockIndex.class);
+
+  /** A recorded block. */
+  public record Block(String name, long stamp, BlockRecord record) {
+    /** Machines in it. */
+    public int size() {
+      return record.hosts().size();
+    }
+  }
+
+  private final Replica replica;
+  private final Map<String, Block> byName = new Object2ObjectLinkedOpenHashMap<>();
+  private final Map<String, Block> byHost = new Object2ObjectLinkedOpenHashMap<>();
+
+  public BlockIndex(Replica replica) {
+    this.replica = replica;
+  }
+
+  public Block get(String name) {
+    return byName.get(name);
+  }
+
+  /** The block that a machine is in, or null. */
+  public Block of(String host) {
+    return byHost.get(host);
+  }
+
+  public Collection<Block> all() {
+    return byName.values();
+  }
+
+  /** Machines in all blocks. */
+  public Set<String> hosts() {
+    return byHost.keySet();
+  }
+
+  /** Follows a change of the replica; returns the machines whose block changed. */
+  public Set<String> changed(String name) {
+    Set<String> touched = new LinkedHashSet<>();
+    Block before = byName.remove(name);
+    if (before != null) {
+      for (String host : before.record.hosts().keySet()) {
+        // A machine that was handed on may stand in its new block already.
+        if (byHost.remove(host, before)) {
+          touched.add(host);
+        }
+      }
+    }
+    Item item = replica.get(Replica.BLOCKS, name);
+    if (item != null) {
+      try {
+        Block block = new Block(name, item.stamp(), BlockRecord.parse(name, item.data()));
+        byName.put(name, block);
+        for (String host : block.record.hosts().keySet()) {
+          byHost.put(host, block);
+          touched.add(host);
+        }
+      } catch (Malformed e) {
+        LOG.error("record {}/{} cannot be read: {}", Replica.BLOCKS, name, e.getMessage());
+      }
+    }
+    return touched;
+  }
+}
--- a/src/main/java/dunlincroft/bookkeeping/JobIndex.java
+++ b/src/main/java/dunlincroft/bookkeeping/JobIndex.java
@@ -25,6 +25,11 @@
     public final long acceptedAt;
     private final Map<Integer, PageRecord> pages = new Object2ObjectLinkedOpenHashMap<>();
 
+    /** Sums over the pages, kept with every change: every round asks for them. */
+    private int done;
+
+    private int placed;
+
     Job(JobSpec spec, String shard, int pageTasks, long acceptedAt) {
       this.spec = spec;
       this.shard = shard;
@@ -37,11 +42,24 @@
     }
 
     public int done() {
-      return pages.values().stream().mapToInt(page -> page.done().cardinality()).sum();
+      return done;
     }
 
     public int placed() {
-      return pages.values().stream().mapToInt(page -> page.places().size()).sum();
+      return placed;
+    }
+
+    private void page(int number, PageRecord record) {
+      PageRecord before = record == null ? pages.remove(number) : pages.put(number, record);
+      count(before, -1);
+      count(record, 1);
+    }
+
+    private void count(PageRecord record, int sign) {
+      if (record != null) {
+        done += sign * record.done().cardinality();
+        placed += sign * record.places().size();
+      }
     }
   }
 
@@ -109,10 +127,6 @@
 
   private void page(Job job, String id, int page) throws Malformed {
     Item item = replica.get(Replica.PAGES, pageName(id, page));
-    if (item == null) {
-      job.pages.remove(page);
-    } else {
-      job.pages.put(page, PageRecord.parse(item.data()));
-    }
+    job.page(page, item == null ? null : PageRecord.parse(item.data()));
   }
 }
--- a/src/main/java/dunlincroft/bookkeeping/StateStore.java
+++ b/src/main/java/dunlincroft/bookkeeping/StateStore.java
@@ -12,7 +12,9 @@
 import dunlincroft.transport.Soon;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,6 +42,7 @@
   public record Answer(int status, ObjectNode body) {}
 
   private record Pending(
+      Urgency urgency,
       String method,
       String path,
       ObjectNode body,
@@ -48,10 +51,11 @@
       long refuseAtMs,
       Consumer<Answer> then) {}
 
-  /** Answer of a call that was never sent, for want of budget; the service itself says 429. */
-  private static final Answer NOT_SENT = new Answer(429, null);
-
   private static final int NO_HOLD = 400;
+  private static final int OVER_RATE = 429;
+
+  /** Answer of a call that was never sent, for want of budget; the service itself says 429. */
+  private static final Answer NOT_SENT = new Answer(OVER_RATE, null);
 
   private final Env env;
   private final String address;
@@ -62,8 +66,12 @@
   private final List<ArrayDeque<Pending>> queues = new ArrayList<>();
   private final Replica replica;
   private final Soon pump;
+  private final Meter wishRequests = new Meter();
+  private final Meter wishWrites = new Meter();
+  private final Map<Urgency, Integer> written = new EnumMap<>(Urgency.class);
   private long sent;
   private long refused;
+  private int backlog;
 
   public StateStore(Env env, String address, double rps, double writeRps, Replica replica) {
     this.env = env;
@@ -74,16 +82,67 @@
     this.replica = replica;
     this.requests = new TokenBucket(0, env.nowMillis());
     this.writes = new TokenBucket(0, env.nowMillis());
-    part(1);
+    share(new Wish(0, 0), List.of());
     for (int i = 0; i < Urgency.values().length; i++) {
       queues.add(new ArrayDeque<>());
     }
   }
 
-  /** Sets our part of the published rates. */
-  public void part(double fraction) {
-    requests.rate(rps * fraction, env.nowMillis());
-    writes.rate(writeRps * fraction, env.nowMillis());
+  /** What a controller wants of the published rates, in requests and changes a second. */
+  public record Wish(double requests, double writes) {}
+
+  /** A rate smoothed over some seconds. */
+  private static final class Meter {
+    private double perSecond;
+    private double sum;
+
+    void add(double n) {
+      sum += n;
+    }
+
+    double take(double seconds) {
+      double pace = Math.exp(-seconds / Constants.WISH_S);
+      perSecond = perSecond * pace + sum / seconds * (1 - pace);
+      sum = 0;
+      return perSecond;
+    }
+  }
+
+  /** Our wish since the last call, {@code seconds} ago. */
+  public Wish wish(double seconds) {
+    return new Wish(wishRequests.take(seconds), wishWrites.take(seconds) + backlog);
+  }
+
+  /** Changes that wait until there is budget for them; they are part of our wish. */
+  public void backlog(int changes) {
+    backlog = changes;
+  }
+
+  /**
+   * Sets our part of the published rates by all controllers' wishes. Everyone has a floor, for what
+   * comes suddenly. The parts are advice: where they add up to more, the service says 429.
+   */
+  public void share(Wish mine, List<Wish> others) {
+    int all = others.size() + 1;
+    double floorRequests = rps / Constants.WISH_FLOORS / all;
+    double floorWrites = writeRps / Constants.WISH_FLOORS / all;
+    double sumRequests = mine.requests + all * floorRequests;
+    double sumWrites = mine.writes + all * floorWrites;
+    for (Wish other : others) {
+      sumRequests += other.requests;
+      sumWrites += other.writes;
+    }
+    long now = env.nowMillis();
+    requests.rate(rps * (mine.requests + floorRequests) / sumRequests, now);
+    writes.rate(writeRps * (mine.writes + floorWrites) / sumWrites, now);
+  }
+
+  /** Changes that may be sent at once and leave something for what is more urgent. */
+  public int writesFree() {
+    if (waiting() > 0) {
+      return 0;
+    }
+    return (int) writes.beyond(Constants.WRITES_KEPT, env.nowMillis());
   }
 
   /** Calls that wait for budget. */
@@ -95,8 +154,21 @@
     return n;
   }
 
+  /** Calls so far, and the changes by what they were for since the last line. */
   public String figures() {
-    return "sent=" + sent + " refused=" + refused + " waiting=" + waiting();
+    String line =
+        "sent="
+            + sent
+            + " refused="
+            + refused
+            + " waiting="
+            + waiting()
+            + " backlog="
+            + backlog
+            + " changes="
+            + written;
+    written.clear();
+    return line;
   }
 
   private void submit(
@@ -110,7 +182,9 @@
     long refuseAt = env.nowMillis() + Constants.BUDGET_WAIT_MS;
     queues
         .get(urgency.ordinal())
-        .add(new Pending(method, path, body, puts, timeoutMs, refuseAt, then));
+        .add(new Pending(urgency, method, path, body, puts, timeoutMs, refuseAt, then));
+    wishRequests.add(1);
+    wishWrites.add(puts);
     // From a timer even when there is room: no caller is called back inside its own call.
     pump.in(0);
   }
@@ -140,6 +214,9 @@
 
   private void send(Pending call) {
     sent++;
+    if (call.writes > 0) {
+      written.merge(call.urgency, call.writes, Integer::sum);
+    }
     env.call(
         new Env.Call(
             address,
@@ -147,7 +224,16 @@
             call.path,
             call.body == null ? null : Cbor.bytes(call.body),
             call.timeoutMs),
-        reply -> call.then.accept(understand(reply)));
+        reply -> {
+          if (reply.status() == OVER_RATE && env.nowMillis() < call.refuseAtMs) {
+            // Not carried out: together we asked for too much. It goes first, a little later.
+            queues.get(call.urgency.ordinal()).addFirst(call);
+            (call.writes > 0 ? writes : requests).empty(env.nowMillis());
+            pump.in(Constants.OVER_RATE_MS);
+          } else {
+            call.then.accept(understand(reply));
+          }
+        });
   }
 
   private static Answer understand(Reply reply) {
--- a/src/main/java/dunlincroft/bookkeeping/TokenBucket.java
+++ b/src/main/java/dunlincroft/bookkeeping/TokenBucket.java
@@ -17,6 +17,19 @@
     perSecond = newPerSecond;
   }
 
+  /** Tokens that are there beyond a part kept for what is more urgent. */
+  public double beyond(double part, long nowMs) {
+    refill(nowMs);
+    // A bucket of one token would never have one to spare.
+    return tokens >= size() ? Math.max(1, tokens - size() * part) : tokens - size() * part;
+  }
+
+  /** The service says that there are none: for a while there are not. */
+  public void empty(long nowMs) {
+    refill(nowMs);
+    tokens = Math.min(tokens, 0);
+  }
+
   private double size() {
     return Math.max(1, perSecond);
   }
--- /dev/null
+++ b/src/main/java/dunlincroft/coordination/Adoption.java
@@ -0,0 +1,193 @@
+package dunlincroft.coordination;
+
+import dunlincroft.Constants;
+import dunlincroft.bookkeeping.Replica;
+import dunlincroft.bookkeeping.StateStore.Urgency;
+import dunlincroft.bookkeeping.Txn;
+import dunlincroft.protocol.BlockClass;
+import dunlincroft.protocol.BlockRecord;
+import dunlincroft.protocol.Wire;
+import dunlincroft.protocol.WorkerReport;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The leader leases machines that have no block yet: those just rented, and those that turn up. As
+ * many of one class as came together are one block, and one change of the state service.
+ */
+final class Adoption {
+  private static final Logger LOG = LoggerFactory.getLogger(Adoption.class);
+
+  /** A machine without a block; shard null: the neediest gets it. */
+  private record Newcomer(BlockClass blockClass, long hiredAt, String shard) {}
+
+  private final World world;
+  private final Membership members;
+  private final Demand demand;
+  private final Map<String, Newcomer> newcomers = new LinkedHashMap<>();
+
+  /**
+   * Blocks that are offered to the state service, by name. A block is final once offered: a try
+   * without an answer may be applied late, and a second one of another content would put a machine
+   * into two blocks.
+   */
+  private final Map<String, BlockRecord> offered = new LinkedHashMap<>();
+
+  private final Map<String, Long> gone = new HashMap<>();
+  private boolean recording;
+  private long ledSince;
+
+  Adoption(World world, Membership members, Demand demand) {
+    this.world = world;
+    this.members = members;
+    this.demand = demand;
+  }
+
+  /** A worker reports whose machine has no block yet. */
+  void adopt(WorkerReport report) {
+    adopt(
+        List.of(report.host()),
+        new BlockClass(report.flavour(), report.hall(), report.lendable()),
+        world.env.wallMillis(),
+        null);
+  }
+
+  /** Takes machines for blocks of a shard or (null) of the neediest one. */
+  void adopt(Collection<String> hosts, BlockClass blockClass, long hiredAt, String shard) {
+    for (String host : hosts) {
+      boolean known = world.blocks.of(host) != null || isOffered(host);
+      if (!known && !gone.containsKey(host)) {
+        newcomers.putIfAbsent(host, new Newcomer(blockClass, hiredAt, shard));
+      }
+    }
+  }
+
+  private boolean isOffered(String host) {
+    return offered.values().stream().anyMatch(block -> block.hosts().containsKey(host));
+  }
+
+  /** A machine that was released may show for a while in lists that lag. */
+  void gone(String host) {
+    gone.put(host, world.now() + Constants.GONE_MS);
+  }
+
+  boolean isGone(String host) {
+    return gone.containsKey(host);
+  }
+
+  /** Machines of a type that are on their way into blocks. */
+  int coming(String type, boolean lendable) {
+    long n = newcomers.values().stream().filter(c -> is(c.blockClass, type, lendable)).count();
+    for (BlockRecord block : offered.values()) {
+      n += is(block.blockClass(), type, lendable) ? block.hosts().size() : 0;
+    }
+    return (int) n;
+  }
+
+  private static boolean is(BlockClass blockClass, String type, boolean lendable) {
+    return blockClass.flavour().equals(type) && blockClass.lendable() == lendable;
+  }
+
+  void tick() {
+    gone.values().removeIf(until -> world.now() > until);
+    long led = world.replica.stamp(Replica.LEADER, Membership.ONE);
+    if (led != ledSince) {
+      // Another led in between and may have adopted the same machines: what we offered is void.
+      ledSince = led;
+      offered.clear();
+      newcomers.clear();
+    }
+    offered.keySet().removeIf(name -> world.blocks.get(name) != null);
+    newcomers.keySet().removeIf(host -> world.blocks.of(host) != null);
+    group();
+    record();
+  }
+
+  /** Makes blocks of the newcomers, by class and shard. */
+  private void group() {
+    List<String> holders = members.leaseHolders();
+    if (newcomers.isEmpty() || holders.isEmpty()) {
+      return;
+    }
+    Map<BlockClass, Map<String, Integer>> blocks = demand.blocks();
+    Map<BlockClass, Map<String, Double>> work = new HashMap<>();
+    Map<String, Map<String, Long>> hosts = new LinkedHashMap<>();
+    Map<String, Newcomer> first = new HashMap<>();
+    newcomers.forEach(
+        (host, newcomer) -> {
+          BlockClass blockClass = newcomer.blockClass;
+          Map<String, Integer> has = blocks.computeIfAbsent(blockClass, c -> new HashMap<>());
+          String shard = newcomer.shard;
+          if (shard == null) {
+            shard = neediest(holders, work.computeIfAbsent(blockClass, demand::byShard), has);
+          }
+          has.merge(shard, 1, Integer::sum);
+          String group = shard + " " + blockClass;
+          first.putIfAbsent(group, new Newcomer(blockClass, 0, shard));
+          Map<String, Long> members = hosts.computeIfAbsent(group, g -> new LinkedHashMap<>());
+          members.put(host, newcomer.hiredAt);
+          if (members.size() == world.settings.blockMachines()) {
+            offer(first.get(group), hosts.remove(group));
+          }
+        });
+    hosts.forEach((group, rest) -> offer(first.get(group), rest));
+    newcomers.clear();
+  }
+
+  private void offer(Newcomer like, Map<String, Long> hosts) {
+    offered.put(members.nextName(), new BlockRecord(like.shard, like.blockClass, hosts));
+  }
+
+  /** The lease holder with the most work for each machine that it has. */
+  private static String neediest(
+      List<String> holders, Map<String, Double> work, Map<String, Integer> has) {
+    String best = null;
+    double most = -1;
+    for (String holder : holders) {
+      double need = (1.0 + work.getOrDefault(holder, 0.0)) / (1.0 + has.getOrDefault(holder, 0));
+      if (need > most) {
+        best = holder;
+        most = need;
+      }
+    }
+    return best;
+  }
+
+  private void record() {
+    if (recording || offered.isEmpty()) {
+      return;
+    }
+    Txn txn = members.asLeader(new Txn());
+    List<String> names = new ArrayList<>();
+    Set<String> hosts = new HashSet<>();
+    for (Map.Entry<String, BlockRecord> entry : offered.entrySet()) {
+      if (txn.size() < world.settings.txnOps()) {
+        String key = Wire.key(Replica.BLOCKS, entry.getKey());
+        txn.guard(key, 0).put(key, entry.getValue().toNode());
+        names.add(entry.getKey());
+        hosts.addAll(entry.getValue().hosts().keySet());
+      }
+    }
+    recording = true;
+    world.store.commit(
+        Urgency.HANDS,
+        txn,
+        result -> {
+          recording = false;
+          LOG.info("{} machines leased as blocks {}: {}", hosts.size(), names, result.outcome());
+          if (result.ok()) {
+            offered.keySet().removeAll(names);
+          } else if (result.outcome() == Txn.Outcome.CONFLICT) {
+            world.feed.barrier(ok -> LOG.debug("reread after blocks not leased: {}", ok));
+          }
+        });
+  }
+}
--- a/src/main/java/dunlincroft/coordination/Controller.java
+++ b/src/main/java/dunlincroft/coordination/Controller.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.Constants;
 import dunlincroft.Settings;
+import dunlincroft.bookkeeping.BlockIndex;
 import dunlincroft.bookkeeping.Feed;
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.bookkeeping.Replica;
@@ -30,6 +31,7 @@
   private final Ledger ledger;
   private final WorkerDesk desk;
   private final Scheduler scheduler;
+  private final Adoption adoption;
   private final Supply supply;
   private final Handover handover;
   private final JobDesk jobs;
@@ -58,7 +60,8 @@
             settings.cloud(),
             settings.cloudRps() * Constants.BUDGET_PART / members.names().size());
     Demand demand = new Demand(world);
-    supply = new Supply(world, members, desk, ledger, cloud, demand);
+    adoption = new Adoption(world, members, demand);
+    supply = new Supply(world, members, desk, ledger, cloud, demand, adoption);
     handover = new Handover(world, members, desk, demand);
     jobs = new JobDesk(world, members);
     world.feed = new Feed(env, store, replica, this::synced);
@@ -85,7 +88,7 @@
     switch (kind) {
       case Replica.JOBS -> world.job(name);
       case Replica.CANCELS -> cancelled(name);
-      case Replica.BLOCKS -> world.block(name);
+      case Replica.BLOCKS -> world.blocks.changed(name).forEach(world::block);
       case Replica.SHARDS -> {
         members.shardChanged(name);
         ledger.forget();
@@ -155,8 +158,11 @@
     }
     if (world.placeDue && now >= nextPlace && fresh()) {
       world.placeDue = false;
-      nextPlace = now + Constants.PLACE_MS;
-      pushSoon(scheduler.place());
+      Set<Machine> stopped = scheduler.place();
+      // Rounds never take more than a part of the processor, however much waits.
+      long took = world.now() - now;
+      nextPlace = now + Math.max(Constants.PLACE_MS, Constants.PLACE_REST * took);
+      pushSoon(stopped);
     }
     if (fresh()) {
       ledger.flush();
@@ -171,7 +177,7 @@
               + " jobs="
               + world.index.all().size()
               + " machines="
-              + world.replica.kind(Replica.BLOCKS).size()
+              + world.blocks.hosts().size()
               + " state service: "
               + world.store.figures());
     }
@@ -183,21 +189,11 @@
         && world.feed.silentMs() < Constants.STALE_MS;
   }
 
-  /** Who holds machines writes most; the others mostly accept jobs. */
+  /** Who holds machines must see new jobs at once; the others mostly accept them. */
   private void share() {
-    double mine = 1;
-    double all = 0;
-    for (String name : members.names()) {
-      boolean holder =
-          members.leaseHolders().stream().anyMatch(shard -> name.equals(world.holderOf(shard)));
-      double weight = holder ? Constants.HOLDER_WEIGHT : 1;
-      all += weight;
-      if (name.equals(world.settings.node())) {
-        mine = weight;
-        world.feed.pause(holder ? Constants.WATCH_PAUSE_MS : Constants.WATCH_CALM_MS);
-      }
-    }
-    world.store.part(mine / all);
+    boolean holder = members.leaseHolders().stream().anyMatch(world::holds);
+    world.feed.pause(holder ? Constants.WATCH_PAUSE_MS : Constants.WATCH_CALM_MS);
+    members.shareRates();
   }
 
   // ---- the link ----
@@ -225,12 +221,12 @@
       out.send(503, EMPTY, 0);
       return;
     }
-    Replica.Item block = world.replica.get(Replica.BLOCKS, report.host());
+    BlockIndex.Block block = world.blocks.of(report.host());
     if (block == null) {
       unknown(report, out);
       return;
     }
-    String shard = block.data().path("shard").asText();
+    String shard = block.record().shard();
     Machine machine = world.machines.get(report.host());
     if (world.holds(shard) && machine != null) {
       // Out of touch for so long that a cancelled task could outlast its time, unless all are.
@@ -258,7 +254,7 @@
 
   private void unknown(WorkerReport report, Responder out) {
     if (members.leads()) {
-      supply.adopt(report);
+      adoption.adopt(report);
       out.send(503, EMPTY, 0);
       return;
     }
--- a/src/main/java/dunlincroft/coordination/Demand.java
+++ b/src/main/java/dunlincroft/coordination/Demand.java
@@ -1,10 +1,11 @@
 package dunlincroft.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import dunlincroft.Constants;
 import dunlincroft.Settings;
+import dunlincroft.bookkeeping.BlockIndex;
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.bookkeeping.Replica;
+import dunlincroft.protocol.BlockClass;
 import dunlincroft.protocol.JobSpec;
 import dunlincroft.protocol.MachineType;
 import dunlincroft.protocol.Room;
@@ -105,33 +106,13 @@
 
   // ---- by shard ----
 
-  /** Blocks of one class serve the same jobs. */
-  record BlockClass(String flavour, String hall, boolean lendable) {
-    static BlockClass of(JsonNode block) {
-      return new BlockClass(
-          block.path("flavour").asText(),
-          block.path("hall").asText(),
-          block.path("lendable").asBoolean());
-    }
-
-    static BlockClass of(Machine machine) {
-      return new BlockClass(machine.flavour, machine.hall, machine.lendable);
-    }
-
-    /** As operators read it in the log. */
-    @Override
-    public String toString() {
-      return flavour + "/" + hall + "/" + lendable;
-    }
-  }
-
-  /** The numbers of recorded blocks, by class and shard. */
+  /** The numbers of machines in recorded blocks, by class and shard. */
   Map<BlockClass, Map<String, Integer>> blocks() {
     Map<BlockClass, Map<String, Integer>> blocks = new HashMap<>();
-    for (Replica.Item item : world.replica.kind(Replica.BLOCKS).values()) {
+    for (BlockIndex.Block block : world.blocks.all()) {
       blocks
-          .computeIfAbsent(BlockClass.of(item.data()), c -> new HashMap<>())
-          .merge(item.data().path("shard").asText(), 1, Integer::sum);
+          .computeIfAbsent(block.record().blockClass(), c -> new HashMap<>())
+          .merge(block.record().shard(), block.record().hosts().size(), Integer::sum);
     }
     return blocks;
   }
@@ -139,15 +120,15 @@
   /** Machines' worth of open work that blocks of this class may run, by shard. */
   Map<String, Double> byShard(BlockClass blocks) {
     Map<String, Double> work = new HashMap<>();
-    MachineType type = world.types.get(blocks.flavour);
-    if (type == null || !type.halls().contains(blocks.hall)) {
+    MachineType type = world.types.get(blocks.flavour());
+    if (type == null || !type.halls().contains(blocks.hall())) {
       return work;
     }
     for (JobIndex.Job job : world.index.all().values()) {
       JobSpec spec = job.spec;
-      if (spec.allows(blocks.flavour, blocks.hall, blocks.lendable)
+      if (spec.allows(blocks.flavour(), blocks.hall(), blocks.lendable())
           && spec.room().fits(type.room())
-          && (!blocks.lendable || world.policy.spot(spec))
+          && (!blocks.lendable() || world.policy.spot(spec))
           && !cancelled(spec)) {
         work.merge(job.shard, machines(spec, type, open(job)), Double::sum);
       }
--- a/src/main/java/dunlincroft/coordination/Handover.java
+++ b/src/main/java/dunlincroft/coordination/Handover.java
@@ -3,16 +3,19 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.Constants;
 import dunlincroft.Settings;
+import dunlincroft.bookkeeping.BlockIndex;
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.Replica.Item;
 import dunlincroft.bookkeeping.StateStore.Urgency;
 import dunlincroft.bookkeeping.Txn;
-import dunlincroft.coordination.Demand.BlockClass;
+import dunlincroft.protocol.BlockClass;
 import dunlincroft.protocol.Room;
 import dunlincroft.protocol.Wire;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -44,7 +47,7 @@
 
   void tick() {
     Set<String> shards = new HashSet<>(members.leaseHolders());
-    world.replica.kind(Replica.BLOCKS).values().forEach(b -> shards.add(shardOf(b)));
+    world.blocks.all().forEach(block -> shards.add(block.record().shard()));
     if (shards.size() < 2) {
       return;
     }
@@ -52,21 +55,24 @@
       plannedFor = members.leaseStamp();
       plan();
     }
-    for (Machine machine : List.copyOf(world.machines.values())) {
-      if (machine.moveTo != null && !machine.moving && movable(machine)) {
-        move(machine);
+    Map<BlockIndex.Block, Map<String, List<Machine>>> ready = new LinkedHashMap<>();
+    for (Machine machine : world.machines.values()) {
+      BlockIndex.Block block = world.blocks.of(machine.host);
+      if (machine.moveTo != null && !machine.moving && block != null && movable(machine)) {
+        ready
+            .computeIfAbsent(block, b -> new HashMap<>())
+            .computeIfAbsent(machine.moveTo, to -> new ArrayList<>())
+            .add(machine);
       }
     }
+    // One at a time from each block: a second write would meet the first one's stamp.
+    ready.forEach((block, moves) -> move(block, moves.entrySet().iterator().next()));
     if (world.now() >= nextShares) {
       nextShares = world.now() + Constants.SHARES_MS;
       world.settings.teams().values().forEach(this::share);
     }
   }
 
-  private static String shardOf(Item block) {
-    return block.data().path("shard").asText();
-  }
-
   // ---- blocks ----
 
   /** Chooses the blocks to hand over until the next renewal, class by class. */
@@ -92,7 +98,7 @@
     List<Machine> mine = new ArrayList<>();
     for (Machine machine : world.machines.values()) {
       if (machine.shard.equals(from)
-          && BlockClass.of(machine).equals(blockClass)
+          && machine.blockClass().equals(blockClass)
           && world.usable(machine)
           && !machine.hasDaemon()) {
         mine.add(machine);
@@ -135,26 +141,37 @@
         && desk.provenAbsent(machine);
   }
 
-  private void move(Machine machine) {
-    Item block = world.replica.get(Replica.BLOCKS, machine.host);
-    if (block == null || !world.holds(machine.shard)) {
+  /** Takes the machines out of their block and makes a block of the other shard of them. */
+  private void move(BlockIndex.Block block, Map.Entry<String, List<Machine>> moves) {
+    String from = block.record().shard();
+    String to = moves.getKey();
+    List<Machine> machines = moves.getValue();
+    if (!world.holds(from) || (world.settings.txnOps() < 2 && machines.size() < block.size())) {
       return;
     }
-    machine.moving = true;
-    String key = Wire.key(Replica.BLOCKS, machine.host);
-    ObjectNode moved = ((ObjectNode) block.data()).deepCopy().put("shard", machine.moveTo);
+    List<String> hosts = machines.stream().map(machine -> machine.host).toList();
+    String key = Wire.key(Replica.BLOCKS, block.name());
     Txn txn =
         new Txn()
-            .guard(Wire.key(Replica.SHARDS, machine.shard), world.held.getLong(machine.shard))
-            .guard(key, block.stamp())
-            .put(key, moved);
+            .guard(Wire.key(Replica.SHARDS, from), world.held.getLong(from))
+            .guard(key, block.stamp());
+    if (hosts.size() == block.size()) {
+      txn.put(key, block.record().part(hosts, to).toNode());
+    } else {
+      String made = Wire.key(Replica.BLOCKS, members.nextName());
+      txn.put(key, block.record().without(hosts).toNode());
+      txn.guard(made, 0).put(made, block.record().part(hosts, to).toNode());
+    }
+    machines.forEach(machine -> machine.moving = true);
     settle(
         txn,
         false,
-        "block " + machine.host + " to shard " + machine.moveTo,
+        hosts.size() + " machines of block " + block.name() + " to shard " + to,
         () -> {
-          machine.moving = false;
-          machine.moveTo = null;
+          for (Machine machine : machines) {
+            machine.moving = false;
+            machine.moveTo = null;
+          }
           world.placeDue = true;
         });
   }
--- a/src/main/java/dunlincroft/coordination/JobRun.java
+++ b/src/main/java/dunlincroft/coordination/JobRun.java
@@ -113,14 +113,21 @@
   boolean cancelled;
   boolean finishing;
 
+  /** Some placement has been told to go since withdrawUnsent last found none to take back. */
+  boolean halting;
+
   /** Failures in a row, and when the next try may be made. */
   int failures;
 
   long retryAtMs;
+  boolean everFailed;
 
   /** Since when a task waits without room; -1: none does. */
   long waitingSince = -1;
 
+  /** No look for tasks to stop before this: each goes over all machines. */
+  long nextPreempt;
+
   JobRun(String id, JobSpec spec, String shard, int pageTasks, long acceptedAt) {
     this.id = id;
     this.spec = spec;
@@ -195,12 +202,22 @@
     return task < spec.pieces() ? task : -1;
   }
 
+  /** Marks a placement as one that is to go. */
+  void halt(Placement p) {
+    p.stop = true;
+    halting = true;
+  }
+
+  void haltAll() {
+    placed.values().forEach(this::halt);
+  }
+
   void place(Placement p) {
     placed.put(p.task, p);
     booked.set(p.task);
     busy.set(p.task);
     perZone.addTo(p.machine.hall, 1);
-    p.machine.placed.put(p.piece(), p);
+    p.machine.add(p);
     Page page = page(p.task);
     page.hosts.add(p.machine);
     p.machine.named.add(page);
@@ -212,7 +229,7 @@
       placed.remove(p.task);
       busy.clear(p.task);
       perZone.addTo(p.machine.hall, -1);
-      p.machine.placed.remove(p.piece());
+      p.machine.remove(p);
     }
   }
 
--- a/src/main/java/dunlincroft/coordination/Ledger.java
+++ b/src/main/java/dunlincroft/coordination/Ledger.java
@@ -12,6 +12,7 @@
 import dunlincroft.protocol.Wire;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -73,36 +74,66 @@
   /** Writes what is due: ends of jobs, placements, and completions that have waited long enough. */
   void flush() {
     long now = world.now();
-    for (JobRun job : List.copyOf(world.jobs.values())) {
+    for (JobRun job : world.jobs.values()) {
       withdrawUnsent(job);
       if (!job.finishing && (job.complete() || (job.cancelled && job.placed.isEmpty()))) {
         finish(job);
       }
     }
-    for (String shard : List.copyOf(world.held.keySet())) {
-      while (inFlight < 8 && writeSome(shard, now)) {
-        LOG.debug("pages of shard {} written, {} still dirty", shard, dirty.size());
+    List<JobRun.Page> due = due(now);
+    world.store.backlog(due.size());
+    while (!due.isEmpty() && inFlight < Constants.WRITES_OUT) {
+      int services = (int) due.stream().takeWhile(page -> page.urgent && prod(page)).count();
+      int most = Math.max(world.store.writesFree(), services);
+      if (most == 0) {
+        return; // A page that waits costs no more when more of its tasks have moved on.
       }
+      writeSome(due, Math.min(most, world.settings.txnOps()), now);
     }
   }
 
-  private boolean writeSome(String shard, long now) {
+  private static boolean prod(JobRun.Page page) {
+    return page.job().spec.rank() == JobSpec.Rank.PROD;
+  }
+
+  /** Since when a page should have been written. */
+  private static long dueAt(JobRun.Page page) {
+    return page.urgent
+        ? Math.max(page.notBefore, page.dirtySince)
+        : page.dirtySince + Constants.LAZY_WRITE_MS;
+  }
+
+  /** What should be written by now: services that start, then what has waited longest. */
+  private List<JobRun.Page> due(long now) {
+    List<JobRun.Page> due = new ArrayList<>();
+    for (JobRun.Page page : dirty) {
+      if (!page.inFlight && !page.uncertain && !page.job().finishing && now >= dueAt(page)) {
+        due.add(page);
+      }
+    }
+    due.sort(
+        Comparator.comparing((JobRun.Page page) -> !(page.urgent && prod(page)))
+            .thenComparingLong(Ledger::dueAt));
+    return due;
+  }
+
+  /** Takes pages of the first one's shard off the list and writes them in one transaction. */
+  private void writeSome(List<JobRun.Page> due, int most, long now) {
+    String shard = due.get(0).job().shard;
     Txn txn = new Txn().guard(Wire.key(Replica.SHARDS, shard), world.held.getLong(shard));
     List<JobRun.Page> pages = new ArrayList<>();
     List<List<Placement>> placements = new ArrayList<>();
     int bytes = 0;
     boolean starts = false;
-    for (JobRun.Page page : List.copyOf(dirty)) {
+    for (JobRun.Page page : due) {
       JobRun job = page.job();
-      if (!job.shard.equals(shard) || page.inFlight || page.uncertain || job.finishing) {
+      if (!job.shard.equals(shard)) {
         continue;
       }
-      boolean due =
-          page.urgent ? now >= page.notBefore : now - page.dirtySince >= Constants.LAZY_WRITE_MS;
       List<Placement> places = page.placements();
       bytes += Constants.PAGE_ENTRY_BYTES * (places.size() + 8);
-      if (!due || (!pages.isEmpty() && bytes > Constants.TXN_BYTES)) {
-        continue;
+      if (!pages.isEmpty() && bytes > Constants.TXN_BYTES) {
+        break;
       }
       String key = Wire.key(Replica.PAGES, page.name());
       txn.guard(key, page.stamp).put(key, page.record().toNode());
@@ -115,27 +146,23 @@
       }
       pages.add(page);
       placements.add(places);
-      if (pages.size() >= world.settings.txnOps()) {
+      if (pages.size() >= most) {
         break;
       }
     }
-    if (pages.isEmpty()) {
-      return false;
-    }
+    due.removeAll(pages);
     for (JobRun.Page page : pages) {
       dirty.remove(page);
       page.inFlight = true;
       page.urgent = false;
       page.dirtySince = -1;
-      boolean prod = page.job().spec.rank() == JobSpec.Rank.PROD;
-      page.notBefore = prod ? now : now + Constants.PAGE_PAUSE_MS;
+      page.notBefore = prod(page) ? now : now + Constants.PAGE_PAUSE_MS;
     }
     inFlight++;
     world.store.commit(
         starts ? Urgency.START : Urgency.LAZY,
         txn,
         result -> written(shard, pages, placements, result));
-    return true;
   }
 
   private void written(
@@ -178,7 +205,7 @@
         JobRun job = world.jobs.get(key.substring(cancels.length()));
         if (job != null) {
           job.cancelled = true;
-          job.placed.values().forEach(p -> p.stop = true);
+          job.haltAll();
         }
       }
     }
@@ -188,10 +215,18 @@
 
   /** Unwanted placements that no order ever left for are taken back without asking the worker. */
   private void withdrawUnsent(JobRun job) {
+    if (!job.halting) {
+      return;
+    }
+    job.halting = false;
     for (Placement p : List.copyOf(job.placed.values())) {
-      if (p.stop && !p.sent && !job.page(p.task).inFlight) {
-        job.clear(p);
-        dirty(job, p.task, false);
+      if (p.stop && !p.sent) {
+        if (job.page(p.task).inFlight) {
+          job.halting = true;
+        } else {
+          job.clear(p);
+          dirty(job, p.task, false);
+        }
       }
     }
   }
--- a/src/main/java/dunlincroft/coordination/Machine.java
+++ b/src/main/java/dunlincroft/coordination/Machine.java
@@ -1,5 +1,6 @@
 package dunlincroft.coordination;
 
+import dunlincroft.protocol.BlockClass;
 import dunlincroft.protocol.MachineType;
 import dunlincroft.protocol.Room;
 import dunlincroft.protocol.WorkerReport;
@@ -17,6 +18,7 @@
   final String hall;
   final boolean lendable;
   final long hiredAtWall;
+  final long[] points;
   String endpoint;
   MachineType type;
 
@@ -31,6 +33,11 @@
   List<WorkerReport.Piece> pieces = List.of();
   final Map<String, Placement> placed = new Object2ObjectLinkedOpenHashMap<>();
 
+  /** What the placements take, and how many of them are services': kept with every change. */
+  private Room booked = Room.NONE;
+
+  private int daemons;
+
   /** Images that a task ran from here, as far as this holder saw. */
   final Set<String> images = new HashSet<>();
 
@@ -48,6 +55,21 @@
   boolean suspected;
   boolean releasing;
 
+  /** The cloud has said that it is gone; its block does not show it yet. */
+  boolean released;
+
+  /**
+   * Our fence when we began to act for the machine. A worker that has seen it obeys no holder
+   * before us; later rises, as when another machine of the block leaves, change nothing about that.
+   */
+  long since;
+
+  /** The last answer to a hello carried starts: until the next hello they may be on their way. */
+  boolean startsAnswered;
+
+  /** No longer a machine of ours; a walk made earlier may still lead past it. */
+  boolean dropped;
+
   /** Why no new work goes there, or null. */
   String draining;
 
@@ -79,31 +101,51 @@
     this.hall = hall;
     this.lendable = lendable;
     this.hiredAtWall = hiredAtWall;
+    this.points = Ring.pointsOf(host);
     this.lastHeard = nowMs;
   }
 
-  Room used() {
-    Room sum = strays;
-    for (Placement p : placed.values()) {
-      sum = sum.plus(p.job.spec.room());
+  void add(Placement p) {
+    placed.put(p.piece(), p);
+    booked = booked.plus(p.job.spec.room());
+    daemons += p.job.spec.daemon() ? 1 : 0;
+  }
+
+  void remove(Placement p) {
+    if (placed.remove(p.piece(), p)) {
+      booked = booked.minus(p.job.spec.room());
+      daemons -= p.job.spec.daemon() ? 1 : 0;
     }
-    return sum;
+  }
+
+  Room used() {
+    return booked.plus(strays);
   }
 
   Room free() {
     return type == null ? Room.NONE : type.room().minus(used());
   }
 
+  /** A look before the exact one: whether so many processors can be free at all. */
+  boolean mayHave(Room room) {
+    return type != null && type.room().cpu() - booked.cpu() - strays.cpu() >= room.cpu();
+  }
+
   boolean empty() {
     return placed.isEmpty() && pieces.stream().allMatch(WorkerReport.Piece::exited);
   }
 
   boolean hasDaemon() {
-    return placed.values().stream().anyMatch(p -> p.job.spec.daemon());
+    return daemons > 0;
+  }
+
+  BlockClass blockClass() {
+    return new BlockClass(flavour, hall, lendable);
   }
 
   boolean usable(long nowMs, long suspectMs) {
     return reported
+        && !dropped
         && type != null
         && blockStamp > 0
         && draining == null
--- a/src/main/java/dunlincroft/coordination/Membership.java
+++ b/src/main/java/dunlincroft/coordination/Membership.java
@@ -6,6 +6,7 @@
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.Replica.Item;
 import dunlincroft.bookkeeping.StateStore.Urgency;
+import dunlincroft.bookkeeping.StateStore.Wish;
 import dunlincroft.bookkeeping.Txn;
 import dunlincroft.protocol.Cbor;
 import dunlincroft.protocol.Fields;
@@ -28,7 +29,7 @@
  */
 final class Membership {
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
-  private static final String ONE = "one";
+  static final String ONE = "one";
 
   private final World world;
   private final Settings settings;
@@ -38,8 +39,11 @@
   private final Map<String, Long> sentAway = new HashMap<>();
   private final Map<String, Map<String, Long>> returned = new HashMap<>();
   private final Runnable onTaken;
+  private Wish wish = new Wish(0, 0);
+  private long wishedAt;
   private long tenancy;
   private long incarnation;
+  private long named;
   private boolean announcing;
   private boolean electing;
   private boolean taking;
@@ -63,8 +67,10 @@
     return names;
   }
 
-  long incarnation() {
-    return incarnation;
+  /** A name for a rental or a block that no controller ever gave before or will give again. */
+  String nextName() {
+    named++;
+    return settings.node() + "-" + incarnation + "-" + named;
   }
 
   // ---- hold ----
@@ -106,7 +112,8 @@
   // ---- the link: advice only ----
 
   Beat beat() {
-    return new Beat(settings.node(), incarnation, world.feed.silentMs());
+    return new Beat(
+        settings.node(), incarnation, world.feed.silentMs(), wish.requests(), wish.writes());
   }
 
   void heard(Beat beat) {
@@ -114,6 +121,23 @@
     beats.put(beat.node(), beat);
   }
 
+  /**
+   * Shares the state service's rates out by what everyone wants. A controller that says nothing is
+   * taken to want what it last did; one whose hold has ended wants nothing.
+   */
+  void shareRates() {
+    double seconds = (world.now() - wishedAt) / 1000.0;
+    wishedAt = world.now();
+    wish = world.store.wish(Math.max(seconds, 0.001));
+    List<Wish> others = new ArrayList<>();
+    for (Settings.Peer peer : settings.others()) {
+      Beat beat = beats.get(peer.node());
+      boolean there = beat != null && world.replica.get(Replica.CONTROLLERS, peer.node()) != null;
+      others.add(there ? new Wish(beat.requests(), beat.writes()) : new Wish(0, 0));
+    }
+    world.store.share(wish, others);
+  }
+
   private boolean linkSilent(String node) {
     return world.now() - lastBeat.getOrDefault(node, 0L) > Constants.PEER_DOWN_MS;
   }
@@ -313,7 +337,7 @@
     patience.put(shard, wait);
     patienceUntil.put(shard, now + wait);
     returned.remove(shard);
-    world.replica.kind(Replica.BLOCKS).keySet().forEach(sentAway::remove);
+    sentAway.clear();
   }
 
   /** Follows a shard's record: begins, goes on, or stops acting for it. */
@@ -330,9 +354,9 @@
         LOG.info("shard {} is held by {} now", shard, item == null ? null : world.holderOf(shard));
         world.drop(shard);
       }
-    } else if (world.holds(shard)) {
-      world.held.put(shard, item.stamp());
-    } else {
+    } else if (world.held.getLong(shard) != item.stamp()) {
+      // New to us, or another held it in between, unseen: its writes are read before we act.
+      world.drop(shard);
       // The old holder's last writes may still be on their way to our replica: read them first.
       enter(shard, item.stamp());
     }
@@ -411,12 +435,12 @@
     List<String> holders = leaseHolders();
     Item item = world.replica.get(Replica.LEASES, ONE);
     long wall = world.env.wallMillis();
-    int blocks = world.replica.kind(Replica.BLOCKS).size();
+    int machines = world.blocks.hosts().size();
     int each = world.policy.holderMachines();
-    int want = Math.max(1, Math.min(names.size(), (blocks - 1) / each + 1));
+    int want = Math.max(1, Math.min(names.size(), (machines - 1) / each + 1));
     boolean grow = holders.size() < want;
     boolean shrink =
-        holders.size() > want && blocks < (holders.size() - 1) * each * Constants.FEWER_HOLDERS;
+        holders.size() > want && machines < (holders.size() - 1) * each * Constants.FEWER_HOLDERS;
     if (item != null
         && !grow
         && !shrink
--- a/src/main/java/dunlincroft/coordination/Placement.java
+++ b/src/main/java/dunlincroft/coordination/Placement.java
@@ -11,6 +11,7 @@
   final Machine machine;
   final long attempt;
   final long sinceMs;
+  private final String piece;
 
   /** The state service holds this placement: only then may an order leave. */
   boolean recorded;
@@ -18,9 +19,12 @@
   /** An order to run it may have left, from this holder or one before it. */
   boolean sent;
 
-  /** It is to go: cancelled, preempted or drained. */
+  /** It is to go: cancelled, preempted or drained. Set by JobRun.halt(). */
   boolean stop;
 
+  /** The worker's newest report has it. */
+  boolean shown;
+
   /** Last status the worker reported; null while it reported none. */
   String status;
 
@@ -30,10 +34,11 @@
     this.machine = machine;
     this.attempt = attempt;
     this.sinceMs = sinceMs;
+    this.piece = Wire.piece(job.id, task);
   }
 
   String piece() {
-    return Wire.piece(job.id, task);
+    return piece;
   }
 
   double windDownS() {
--- a/src/main/java/dunlincroft/coordination/Ring.java
+++ b/src/main/java/dunlincroft/coordination/Ring.java
@@ -3,30 +3,43 @@
 import dunlincroft.Constants;
 import it.unimi.dsi.fastutil.HashCommon;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.LinkedHashSet;
 import java.util.List;
 
 /** Consistent hashing: machines and images on one ring, walked clockwise from the image. */
 final class Ring {
-  private record Point(long at, Machine machine) {}
+  private record Point(long at, int machine) {}
 
+  private final List<Machine> machines;
   private final List<Point> points = new ArrayList<>();
 
   Ring(Collection<Machine> machines) {
-    for (Machine machine : machines) {
-      for (int i = 0; i < Constants.RING_POINTS; i++) {
-        points.add(new Point(hash(machine.host + "#" + i), machine));
+    this.machines = List.copyOf(machines);
+    for (int number = 0; number < this.machines.size(); number++) {
+      for (long at : this.machines.get(number).points) {
+        points.add(new Point(at, number));
       }
     }
-    points.sort(Comparator.comparingLong(Point::at).thenComparing(point -> point.machine.host));
+    points.sort(
+        Comparator.comparingLong(Point::at)
+            .thenComparing(point -> this.machines.get(point.machine).host));
   }
 
   static long hash(String text) {
     return HashCommon.murmurHash3((long) text.hashCode() * 31 + text.length());
   }
 
+  /** Where a machine stands: a matter of its name alone, so that others' places stay. */
+  static long[] pointsOf(String host) {
+    long[] points = new long[Constants.RING_POINTS];
+    for (int i = 0; i < points.length; i++) {
+      points[i] = hash(host + "#" + i);
+    }
+    return points;
+  }
+
   /** All machines, each once, clockwise from where {@code image} lands. */
   List<Machine> walk(String image) {
     long from = hash(image);
@@ -40,10 +53,15 @@
         high = mid;
       }
     }
-    LinkedHashSet<Machine> order = new LinkedHashSet<>();
-    for (int i = 0; i < points.size(); i++) {
-      order.add(points.get((low + i) % points.size()).machine);
+    BitSet met = new BitSet(machines.size());
+    List<Machine> order = new ArrayList<>(machines.size());
+    for (int i = 0; i < points.size() && order.size() < machines.size(); i++) {
+      int number = points.get((low + i) % points.size()).machine;
+      if (!met.get(number)) {
+        met.set(number);
+        order.add(machines.get(number));
+      }
     }
-    return List.copyOf(order);
+    return order;
   }
 }
--- a/src/main/java/dunlincroft/coordination/Scheduler.java
+++ b/src/main/java/dunlincroft/coordination/Scheduler.java
@@ -2,6 +2,8 @@
 
 import dunlincroft.Constants;
 import dunlincroft.Settings;
+import dunlincroft.bookkeeping.JobIndex;
+import dunlincroft.bookkeeping.Replica;
 import dunlincroft.protocol.JobSpec;
 import dunlincroft.protocol.JobSpec.Rank;
 import dunlincroft.protocol.Room;
@@ -12,6 +14,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -27,6 +30,9 @@
   private final World world;
   private final Ledger ledger;
 
+  /** What has been found to be without room in the present round. */
+  private final List<Wish> full = new ArrayList<>();
+
   Scheduler(World world, Ledger ledger) {
     this.world = world;
     this.ledger = ledger;
@@ -47,7 +53,8 @@
         waiting.add(job);
       }
     }
-    waiting.sort(order(within));
+    waiting.sort(order(waiting, within));
+    full.clear();
     for (JobRun job : waiting) {
       String key = job.shard + "/" + job.spec.owner();
       Room left =
@@ -88,31 +95,34 @@
 
   // ---- order of waiting work ----
 
-  /** Ids of jobs that fit into their team's guarantee together with the team's earlier jobs. */
+  /**
+   * Ids of jobs that fit into their team's guarantee together with the team's earlier jobs, read
+   * off the records: a guarantee is the team's, whoever holds its jobs.
+   */
   private Set<String> withinGuarantee() {
-    List<JobRun> byAge = new ArrayList<>(world.jobs.values());
-    byAge.sort(Comparator.comparingLong((JobRun job) -> job.acceptedAt));
+    List<JobIndex.Job> byAge = new ArrayList<>(world.index.all().values());
+    byAge.sort(Comparator.comparingLong((JobIndex.Job job) -> job.acceptedAt));
     Map<String, Room> taken = new HashMap<>();
     Set<String> within = new HashSet<>();
-    for (JobRun job : byAge) {
+    for (JobIndex.Job job : byAge) {
       Settings.Team team = world.settings.teams().get(job.spec.owner());
-      if (team == null || job.cancelled) {
+      if (team == null || world.replica.get(Replica.CANCELS, job.spec.ref()) != null) {
         continue;
       }
-      long open = job.spec.pieces() - job.done.cardinality();
+      long open = job.spec.pieces() - job.done();
       Room sum = taken.getOrDefault(team.name(), Room.NONE).plus(job.spec.room().times(open));
       taken.put(team.name(), sum);
       if (sum.fits(team.guarantee())) {
-        within.add(job.id);
+        within.add(job.spec.ref());
       }
     }
     return within;
   }
 
-  private Comparator<JobRun> order(Set<String> within) {
+  private Comparator<JobRun> order(List<JobRun> waiting, Set<String> within) {
     long wall = world.env.wallMillis();
     Map<String, Double> slack = new HashMap<>();
-    world.jobs.values().forEach(job -> slack.put(job.id, slack(job, wall)));
+    waiting.forEach(job -> slack.put(job.id, slack(job, wall)));
     return Comparator.comparing((JobRun job) -> job.spec.rank() != Rank.PROD)
         .thenComparing(job -> !within.contains(job.id))
         .thenComparingDouble(job -> slack.get(job.id))
@@ -144,7 +154,8 @@
 
   /** What is free for a job's tasks on a machine, or null when the machine is not for them. */
   private Room roomFor(JobRun job, Machine machine) {
-    if (!world.usable(machine)
+    if (!machine.mayHave(job.spec.room())
+        || !world.usable(machine)
         || !machine.shard.equals(job.shard)
         || !world.allows(job.spec, machine)
         || (machine.failedJobs.contains(job.id) && job.failures < Constants.JOB_FAULTY_AFTER)) {
@@ -158,9 +169,36 @@
     return machine.free().minus(new Room((long) (all.cpu() * kept), 0, 0));
   }
 
+  /** Constraints and room of work that found no machine in this round. */
+  private record Wish(
+      String shard, boolean spot, boolean service, List<String> types, String zone, Room room) {
+    static Wish of(JobRun job, boolean spot) {
+      JobSpec spec = job.spec;
+      boolean prod = spec.rank() == Rank.PROD;
+      return new Wish(job.shard, spot, prod, spec.flavours(), spec.hall(), spec.room());
+    }
+
+    /** Where this one found nothing, the other finds nothing either. */
+    boolean covers(Wish other) {
+      return shard.equals(other.shard)
+          && spot == other.spot
+          && service == other.service
+          && Objects.equals(types, other.types)
+          && Objects.equals(zone, other.zone)
+          && room.fits(other.room);
+    }
+  }
+
   private int placeJob(JobRun job, int most, long now) {
+    Wish wish = Wish.of(job, world.spot(job.spec));
+    if (full.stream().anyMatch(other -> other.covers(wish))) {
+      return 0;
+    }
     List<Machine> walk = candidates(job);
     if (walk.isEmpty()) {
+      if (!job.everFailed) {
+        full.add(wish); // A job that failed somewhere has fewer machines than its like.
+      }
       return 0;
     }
     int placed = 0;
@@ -190,18 +228,31 @@
   }
 
   /**
-   * Clockwise from the image's hash. Work that may use spot machines goes there first and to those
-   * with services last; services stay together, so that other machines can be returned.
+   * Machines with room for a task, clockwise from the image's hash. Work that may use spot machines
+   * goes there first and to those with services last; services stay together, so that other
+   * machines can be returned.
    */
   private List<Machine> candidates(JobRun job) {
-    List<Machine> order = new ArrayList<>(world.walk(job.spec.bundle()));
-    if (job.spec.daemon()) {
-      order.sort(Comparator.comparing(machine -> !machine.hasDaemon()));
-    } else if (world.spot(job.spec)) {
-      order.sort(
-          Comparator.comparingInt(machine -> machine.lendable ? 0 : machine.hasDaemon() ? 2 : 1));
+    boolean spot = world.spot(job.spec);
+    List<Machine> first = new ArrayList<>();
+    List<Machine> second = new ArrayList<>();
+    List<Machine> third = new ArrayList<>();
+    for (Machine machine : world.walk(job.spec.bundle())) {
+      Room free = roomFor(job, machine);
+      if (free == null || !job.spec.room().fits(free)) {
+        continue;
+      }
+      if (job.spec.daemon()) {
+        (machine.hasDaemon() ? first : second).add(machine);
+      } else if (spot) {
+        (machine.lendable ? first : machine.hasDaemon() ? third : second).add(machine);
+      } else {
+        first.add(machine);
+      }
     }
-    return order;
+    first.addAll(second);
+    first.addAll(third);
+    return first;
   }
 
   private int fill(JobRun job, Machine machine, int most, boolean buffered, long now) {
@@ -285,9 +336,12 @@
     boolean guaranteed = within.contains(job.id);
     long patience =
         job.spec.rank() == Rank.PROD ? Constants.PREEMPT_AFTER_MS : Constants.GUARANTEE_AFTER_MS;
-    if (now - job.waitingSince < patience || (job.spec.rank() != Rank.PROD && !guaranteed)) {
+    if (now - job.waitingSince < patience
+        || now < job.nextPreempt
+        || (job.spec.rank() != Rank.PROD && !guaranteed)) {
       return;
     }
+    job.nextPreempt = now + (job.spec.rank() == Rank.PROD ? patience : Constants.PREEMPT_PAUSE_MS);
     List<Placement> victims = new ArrayList<>();
     Room coming = Room.NONE;
     for (Machine machine : world.machines.values()) {
@@ -321,7 +375,7 @@
           p.machine.host,
           job.id,
           guaranteed ? "guarantee" : "rank");
-      p.stop = true;
+      p.job.halt(p);
       world.figures.count(Figures.Event.PREEMPTION);
       wanted = wanted.minus(p.job.spec.room());
       stopped.add(p.machine);
--- a/src/main/java/dunlincroft/coordination/Supply.java
+++ b/src/main/java/dunlincroft/coordination/Supply.java
@@ -4,11 +4,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.Constants;
 import dunlincroft.Settings;
+import dunlincroft.bookkeeping.BlockIndex;
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.StateStore.Urgency;
 import dunlincroft.bookkeeping.Txn;
-import dunlincroft.coordination.Demand.BlockClass;
+import dunlincroft.protocol.BlockClass;
+import dunlincroft.protocol.BlockRecord;
 import dunlincroft.protocol.Cbor;
 import dunlincroft.protocol.Fields;
 import dunlincroft.protocol.JobSpec;
@@ -17,7 +19,6 @@
 import dunlincroft.protocol.Malformed;
 import dunlincroft.protocol.Room;
 import dunlincroft.protocol.Wire;
-import dunlincroft.protocol.WorkerReport;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -45,29 +46,34 @@
   private final Ledger ledger;
   private final Cloud cloud;
   private final Demand demand;
-  private final Map<String, ObjectNode> adopt = new LinkedHashMap<>();
-  private final Set<String> adopting = new HashSet<>();
-  private final Map<String, Long> gone = new HashMap<>();
+  private final Adoption adoption;
   private final Map<String, Long> seenUnknown = new HashMap<>();
   private final Map<BlockClass, Long> refusedUntil = new HashMap<>();
   private final Map<String, Progress> progress = new HashMap<>();
   private final Map<BlockClass, Integer> hiring = new HashMap<>();
-  private long hires;
   private long nextList;
   private long nextTypes;
   private long nextConsolidation;
+  private final Set<String> recording = new HashSet<>();
   private boolean listing;
   private boolean releasing;
   private final long suspectMs;
 
   Supply(
-      World world, Membership members, WorkerDesk desk, Ledger ledger, Cloud cloud, Demand demand) {
+      World world,
+      Membership members,
+      WorkerDesk desk,
+      Ledger ledger,
+      Cloud cloud,
+      Demand demand,
+      Adoption adoption) {
     this.world = world;
     this.members = members;
     this.desk = desk;
     this.ledger = ledger;
     this.cloud = cloud;
     this.demand = demand;
+    this.adoption = adoption;
     this.suspectMs = world.reports(Constants.SUSPECT_REPORTS);
   }
 
@@ -105,99 +111,11 @@
         });
   }
 
-  // ---- adoption ----
-
-  /** A worker reports whose machine has no block yet. */
-  void adopt(WorkerReport report) {
-    adopt(
-        report.host(),
-        report.endpoint(),
-        report.flavour(),
-        report.hall(),
-        report.lendable(),
-        world.env.wallMillis(),
-        null);
-  }
-
-  /** Prepares a block, for a shard or (null) for the neediest; as a record it never changes. */
-  private void adopt(
-      String host,
-      String endpoint,
-      String flavour,
-      String hall,
-      boolean lendable,
-      long at,
-      String shard) {
-    if (world.replica.get(Replica.BLOCKS, host) != null || gone.containsKey(host)) {
-      return;
-    }
-    ObjectNode block =
-        Cbor.map()
-            .put("flavour", flavour)
-            .put("hall", hall)
-            .put("lendable", lendable)
-            .put("at", at);
-    if (endpoint != null) {
-      block.put("endpoint", endpoint);
-    }
-    if (shard != null) {
-      block.put("shard", shard);
-    }
-    adopt.putIfAbsent(host, block);
-  }
-
-  /** Leases new blocks to the lease holder with the most work for each machine that it has. */
-  private void recordBlocks() {
-    adopt.keySet().removeIf(host -> world.replica.get(Replica.BLOCKS, host) != null);
-    List<String> holders = members.leaseHolders();
-    if (adopt.isEmpty() || holders.isEmpty()) {
-      return;
-    }
-    Txn txn = members.asLeader(new Txn());
-    List<String> hosts = new ArrayList<>();
-    for (Map.Entry<String, ObjectNode> entry : adopt.entrySet()) {
-      if (!adopting.contains(entry.getKey()) && txn.size() < world.settings.txnOps()) {
-        String key = Wire.key(Replica.BLOCKS, entry.getKey());
-        hosts.add(entry.getKey());
-        ObjectNode block = entry.getValue();
-        if (!block.has("shard")) {
-          block.put("shard", neediest(holders, block));
-        }
-        txn.guard(key, 0).put(key, block);
-      }
-    }
-    if (hosts.isEmpty()) {
-      return;
-    }
-    adopting.addAll(hosts);
-    world.store.commit(
-        Urgency.HANDS,
-        txn,
-        result -> {
-          hosts.forEach(adopting::remove);
-          LOG.info("blocks {} leased: {}", hosts, result.outcome());
-        });
-  }
-
-  private String neediest(List<String> holders, ObjectNode block) {
-    BlockClass blockClass = BlockClass.of(block);
-    Map<String, Double> work = demand.byShard(blockClass);
-    Map<String, Integer> blocks = demand.blocks().getOrDefault(blockClass, Map.of());
-    return holders.stream()
-        .max(
-            Comparator.comparingDouble(
-                holder ->
-                    (1.0 + work.getOrDefault(holder, 0.0))
-                        / (1.0 + blocks.getOrDefault(holder, 0))))
-        .orElseThrow();
-  }
-
   // ---- the leader ----
 
   void leaderTick() {
     cloud.rate(world.settings.cloudRps() * Constants.CLOUD_LEADER_PART);
-    gone.values().removeIf(until -> world.now() > until);
-    recordBlocks();
+    adoption.tick();
     recordShares();
     listTick();
     if (!world.types.isEmpty() && world.feed.silentMs() < Constants.STALE_MS) {
@@ -287,19 +205,16 @@
   }
 
   private void listed(Listing machine) {
-    if (world.replica.get(Replica.BLOCKS, machine.host()) == null) {
+    if (world.blocks.of(machine.host()) == null) {
       // The list lags: a machine returned a moment ago still shows. One that stays is unexpected.
       if (members.leads()
-          && !gone.containsKey(machine.host())
+          && !adoption.isGone(machine.host())
           && world.now() - seenUnknown.computeIfAbsent(machine.host(), host -> world.now())
               >= lags(Constants.UNKNOWN_LAGS)) {
         LOG.info("host {} is listed and has no block: adopted", machine.host());
-        adopt(
-            machine.host(),
-            machine.endpoint(),
-            machine.flavour(),
-            machine.hall(),
-            machine.lendable(),
+        adoption.adopt(
+            List.of(machine.host()),
+            new BlockClass(machine.flavour(), machine.hall(), machine.lendable()),
             world.env.wallMillis() - (long) (machine.heldS() * 1000),
             null);
       }
@@ -317,25 +232,23 @@
   }
 
   private Have have(String type) {
-    List<JsonNode> counted = new ArrayList<>(adopt.values());
+    int ordinary = asked(type, false) + adoption.coming(type, false);
+    int cheap = asked(type, true) + adoption.coming(type, true);
     int blocks = 0;
-    for (Map.Entry<String, Replica.Item> entry : world.replica.kind(Replica.BLOCKS).entrySet()) {
-      JsonNode block = entry.getValue().data();
-      blocks += BlockClass.of(block).flavour().equals(type) ? 1 : 0;
-      Machine machine = world.machines.get(entry.getKey());
-      if (machine == null
-          || ((machine.draining == null || machine.draining.equals(SURPLUS))
-              && (!machine.reported || world.now() - machine.lastHeard < suspectMs))) {
-        counted.add(block);
+    for (BlockIndex.Block block : world.blocks.all()) {
+      BlockClass blockClass = block.record().blockClass();
+      if (!blockClass.flavour().equals(type)) {
+        continue;
       }
-    }
-    int ordinary = asked(type, false);
-    int cheap = asked(type, true);
-    for (JsonNode block : counted) {
-      BlockClass blockClass = BlockClass.of(block);
-      if (blockClass.flavour().equals(type)) {
-        cheap += blockClass.lendable() ? 1 : 0;
-        ordinary += blockClass.lendable() ? 0 : 1;
+      for (String host : block.record().hosts().keySet()) {
+        blocks++;
+        Machine machine = world.machines.get(host);
+        if (machine == null
+            || ((machine.draining == null || machine.draining.equals(SURPLUS))
+                && (!machine.reported || world.now() - machine.lastHeard < suspectMs))) {
+          cheap += blockClass.lendable() ? 1 : 0;
+          ordinary += blockClass.lendable() ? 0 : 1;
+        }
       }
     }
     return new Have(ordinary, cheap, blocks);
@@ -381,9 +294,10 @@
   private boolean hire(MachineType type, boolean cheap, int number) {
     Map<String, Integer> perZone = new HashMap<>();
     type.halls().forEach(zone -> perZone.put(zone, 0));
-    for (Replica.Item item : world.replica.kind(Replica.BLOCKS).values()) {
-      if (item.data().path("lendable").asBoolean() == cheap) {
-        perZone.computeIfPresent(item.data().path("hall").asText(), (zone, n) -> n + 1);
+    for (BlockIndex.Block block : world.blocks.all()) {
+      if (block.record().blockClass().lendable() == cheap) {
+        int more = block.record().hosts().size();
+        perZone.computeIfPresent(block.record().blockClass().hall(), (zone, n) -> n + more);
       }
     }
     List<String> zones =
@@ -406,10 +320,9 @@
   /** Rents in one zone; the blocks go to the shard, if one is given. */
   private void ask(BlockClass offer, int number, String shard) {
     hiring.put(offer, number);
-    hires++;
     ObjectNode body =
         Cbor.map()
-            .put("hire", world.settings.node() + "-" + members.incarnation() + "-" + hires)
+            .put("hire", members.nextName())
             .put("flavour", offer.flavour())
             .put("hall", offer.hall())
             .put("lendable", offer.lendable())
@@ -484,9 +397,6 @@
   }
 
   private void send(ObjectNode body, BlockClass offer, String shard, int tries) {
-    String zone = offer.hall();
-    String flavour = offer.flavour();
-    boolean cheap = offer.lendable();
     cloud.call(
         false,
         "POST",
@@ -508,11 +418,10 @@
           }
           try {
             List<String> hosts = Fields.textsOrNull(answer, "hosts");
-            LOG.info("hired {} as {} {} in {}", hosts, flavour, cheap ? "spot" : "ordinary", zone);
-            for (String host : hosts == null ? List.<String>of() : hosts) {
-              adopt(host, null, flavour, zone, cheap, world.env.wallMillis(), shard);
-            }
-            recordBlocks();
+            List<String> got = hosts == null ? List.of() : hosts;
+            LOG.info("hired {} of {} {}: {}", got.size(), body.path("number"), offer, got);
+            adoption.adopt(got, offer, world.env.wallMillis(), shard);
+            adoption.tick();
           } catch (Malformed e) {
             LOG.info("rental {}: {}", body.path("hire"), e.getMessage());
           }
@@ -556,6 +465,7 @@
     if (!release.isEmpty() && !releasing) {
       release(release);
     }
+    recordReleased();
     surplus();
     world.machines.values().stream().filter(m -> SURPLUS.equals(m.draining)).forEach(this::clear);
   }
@@ -577,7 +487,7 @@
   /** Stops the tasks of a machine that drains: they wait again as soon as they are off it. */
   private void move(Machine machine) {
     for (Placement p : machine.placed.values()) {
-      p.stop = true;
+      p.job.halt(p);
       world.figures.count(Figures.Event.MOVE);
     }
     desk.push(machine);
@@ -689,7 +599,7 @@
       machine.releasing = true;
       machine.draining = machine.draining == null ? "released" : machine.draining;
       body.withArray("hosts").add(machine.host);
-      gone.put(machine.host, world.now() + Constants.GONE_MS);
+      adoption.gone(machine.host);
     }
     cloud.call(
         true,
@@ -699,11 +609,13 @@
         (status, answer) -> {
           releasing = false;
           for (Machine machine : machines) {
-            machine.releasing = false;
             if (status == 200) {
-              released(machine);
+              released(machine); // It stays unusable until its block shows it no longer.
+            } else {
+              machine.releasing = false;
             }
           }
+          recordReleased();
           if (status != 200) {
             LOG.info("release of {} machines not carried out: {}", machines.size(), status);
           }
@@ -712,27 +624,58 @@
 
   /** The cloud's word: the machine and all that was on it are gone. */
   private void released(Machine machine) {
-    if (world.machines.get(machine.host) != machine) {
+    if (machine.dropped) {
       return;
     }
     for (Placement p : List.copyOf(machine.placed.values())) {
       desk.clear(p, "released");
     }
-    String key = Wire.key(Replica.BLOCKS, machine.host);
-    long stamp = world.replica.stamp(Replica.BLOCKS, machine.host);
-    if (stamp > 0) {
-      world.store.commit(
-          Urgency.HANDS,
-          new Txn()
-              .guard(Wire.key(Replica.SHARDS, machine.shard), world.held.getLong(machine.shard))
-              .guard(key, stamp)
-              .remove(key),
-          result -> LOG.debug("block {} removed: {}", machine.host, result.outcome()));
-    } else {
+    machine.released = machine.blockStamp > 0 && world.blocks.of(machine.host) != null;
+    if (!machine.released) {
       world.forget(machine);
     }
   }
 
+  /**
+   * Takes released machines out of their blocks: a change for each block, however many they are.
+   */
+  private void recordReleased() {
+    Map<BlockIndex.Block, List<String>> gone = new LinkedHashMap<>();
+    for (Machine machine : world.machines.values()) {
+      BlockIndex.Block block = machine.released ? world.blocks.of(machine.host) : null;
+      if (block != null && !recording.contains(block.name())) {
+        gone.computeIfAbsent(block, b -> new ArrayList<>()).add(machine.host);
+      }
+    }
+    gone.forEach(
+        (block, hosts) -> {
+          String shard = block.record().shard();
+          String key = Wire.key(Replica.BLOCKS, block.name());
+          BlockRecord left = block.record().without(hosts);
+          Txn txn =
+              new Txn()
+                  .guard(Wire.key(Replica.SHARDS, shard), world.held.getLong(shard))
+                  .guard(key, block.stamp());
+          if (left.hosts().isEmpty()) {
+            txn.remove(key);
+          } else {
+            txn.put(key, left.toNode());
+          }
+          recording.add(block.name());
+          world.store.commit(
+              Urgency.HANDS,
+              txn,
+              result -> {
+                recording.remove(block.name());
+                LOG.debug(
+                    "{} released machines leave block {}: {}",
+                    hosts.size(),
+                    block.name(),
+                    result.outcome());
+              });
+        });
+  }
+
   /** Empties and returns what is not needed, the dearest kind first. */
   private void surplus() {
     Map<String, Demand.Need> needs = demand.needs();
--- a/src/main/java/dunlincroft/coordination/WorkerDesk.java
+++ b/src/main/java/dunlincroft/coordination/WorkerDesk.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.Constants;
+import dunlincroft.bookkeeping.BlockIndex;
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.StateStore.Urgency;
 import dunlincroft.bookkeeping.Txn;
@@ -15,9 +16,7 @@
 import dunlincroft.transport.Env;
 import dunlincroft.transport.Env.Reply;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,10 +47,13 @@
           fence);
       return null;
     }
+    // The worker has taken or dropped the answer before: it has one report out at a time.
+    machine.startsAnswered = false;
     if (!read(machine, report)) {
       return Order.body(fence, List.of());
     }
     List<Order> orders = orders(machine, fence);
+    machine.startsAnswered = orders.stream().anyMatch(order -> order.verb().equals(Wire.RUN));
     return Order.body(fence, orders);
   }
 
@@ -77,19 +79,19 @@
     machine.fenceSeen = report.fence();
     machine.lastHeard = world.now();
     machine.endpoint = report.endpoint();
-    if (report.fence() >= world.fence(machine) && machine.unresolvedFence < report.fence()) {
+    if (machine.unresolvedFence < report.fence()) {
       machine.unresolvedFence = 0;
     }
     if (report.warningS() != WorkerReport.NO_WARNING && machine.draining == null) {
       warned(machine, report.warningS());
     }
     machine.pieces = report.pieces();
-    Map<String, Piece> shown = new HashMap<>();
+    machine.placed.values().forEach(p -> p.shown = false);
     Room strays = Room.NONE;
     for (Piece piece : report.pieces()) {
       Placement p = machine.placed.get(piece.id());
       if (p != null && p.attempt == piece.attempt()) {
-        shown.put(piece.id(), piece);
+        p.shown = true;
         show(machine, p, piece);
       } else {
         JobRun job = world.jobs.get(piece.job());
@@ -102,7 +104,7 @@
     }
     machine.strays = strays;
     for (Placement p : List.copyOf(machine.placed.values())) {
-      if (!shown.containsKey(p.piece())) {
+      if (!p.shown) {
         p.status = null;
         if (p.stop && provenAbsent(machine)) {
           clear(p, "not on the machine");
@@ -125,7 +127,7 @@
       double left = p.job.spec.expectS() - (world.now() - p.sinceMs) / 1000.0;
       // A notice may be half as long as it says; what will not end in that time moves at once.
       if (left > warningS / 2) {
-        p.stop = true;
+        p.job.halt(p);
       }
     }
   }
@@ -142,7 +144,7 @@
       }
       return;
     }
-    if (machine.fenceSeen < world.fence(machine)) {
+    if (machine.fenceSeen < machine.since) {
       // A holder before us may still order this try, and the worker would obey once its session
       // has changed. Until the worker has seen our fence, its word is not the last one.
       return;
@@ -171,6 +173,7 @@
   private void failed(Machine machine, Placement p) {
     JobRun job = p.job;
     job.failures++;
+    job.everFailed = true;
     job.retryAtMs =
         world.now()
             + (job.failures < Constants.JOB_FAULTY_AFTER
@@ -191,7 +194,7 @@
           machine.failures,
           machine.failedJobs.size());
       machine.draining = "sick";
-      machine.placed.values().forEach(other -> other.stop = true);
+      machine.placed.values().forEach(other -> other.job.halt(other));
     }
   }
 
@@ -223,22 +226,22 @@
 
   /**
    * An absent task is proven absent only if no order in flight can still bring it: the worker has
-   * seen our fence, and every direct call under it was answered.
+   * seen our fence, every direct call under it was answered, and no answer to a hello with starts
+   * may still be on its way.
    */
   boolean provenAbsent(Machine machine) {
-    return machine.fenceSeen == world.fence(machine)
+    return machine.fenceSeen >= machine.since
         && machine.unresolvedFence == 0
+        && !machine.startsAnswered
         && !machine.directOut;
   }
 
   /** What the worker must be told, given its last report and the records. */
   private List<Order> orders(Machine machine, long fence) {
     List<Order> orders = new ArrayList<>();
-    Map<String, Piece> shown = new HashMap<>();
     boolean proven = provenAbsent(machine);
     boolean wantsProof = false;
     for (Piece piece : machine.pieces) {
-      shown.put(piece.id() + "#" + piece.attempt(), piece);
       Placement p = machine.placed.get(piece.id());
       if (p != null && p.attempt == piece.attempt()) {
         if (p.stop && !piece.exited()) {
@@ -267,7 +270,7 @@
       }
     }
     for (Placement p : machine.placed.values()) {
-      if (p.recorded && !shown.containsKey(p.piece() + "#" + p.attempt)) {
+      if (p.recorded && !p.shown) {
         if (!p.stop) {
           if (world.feed.silentMs() > Constants.STALE_MS) {
             continue; // Out of touch: what runs goes on, nothing starts.
@@ -296,7 +299,7 @@
 
   /** Rewrites the block's key: commands still in flight under the older fence become void. */
   private void raise(Machine machine) {
-    Replica.Item block = world.replica.get(Replica.BLOCKS, machine.host);
+    BlockIndex.Block block = world.blocks.of(machine.host);
     if (machine.raising || block == null) {
       return;
     }
@@ -304,8 +307,8 @@
     Txn txn =
         new Txn()
             .guard(Wire.key(Replica.SHARDS, machine.shard), world.held.getLong(machine.shard))
-            .guard(Wire.key(Replica.BLOCKS, machine.host), block.stamp())
-            .put(Wire.key(Replica.BLOCKS, machine.host), block.data());
+            .guard(Wire.key(Replica.BLOCKS, block.name()), block.stamp())
+            .put(Wire.key(Replica.BLOCKS, block.name()), block.record().toNode());
     world.store.commit(
         Urgency.CANCEL,
         txn,
--- a/src/main/java/dunlincroft/coordination/World.java
+++ b/src/main/java/dunlincroft/coordination/World.java
@@ -3,12 +3,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dunlincroft.Constants;
 import dunlincroft.Settings;
+import dunlincroft.bookkeeping.BlockIndex;
 import dunlincroft.bookkeeping.Feed;
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.Replica.Item;
 import dunlincroft.bookkeeping.StateStore;
 import dunlincroft.operators.Policy;
+import dunlincroft.protocol.BlockRecord;
 import dunlincroft.protocol.JobSpec;
 import dunlincroft.protocol.MachineType;
 import dunlincroft.protocol.Malformed;
@@ -35,6 +37,7 @@
   final StateStore store;
   final Replica replica;
   final JobIndex index;
+  final BlockIndex blocks;
   Feed feed;
   Figures figures;
 
@@ -46,6 +49,7 @@
   Map<String, MachineType> types = Map.of();
   private Ring ring = new Ring(List.of());
   private boolean ringStale;
+  private long nextRing;
   private final Map<String, List<Machine>> walks = new Object2ObjectOpenHashMap<>();
 
   /** Parts of shares, by team and shard, whose handing over is asked for: no longer ours to use. */
@@ -69,6 +73,7 @@
     this.store = store;
     this.replica = replica;
     this.index = index;
+    this.blocks = new BlockIndex(replica);
   }
 
   long now() {
@@ -100,10 +105,11 @@
   }
 
   List<Machine> walk(String image) {
-    if (ringStale) {
+    if (ringStale && now() >= nextRing) {
       ring = new Ring(machines.values());
       walks.clear();
       ringStale = false;
+      nextRing = now() + Constants.RING_MS;
     }
     return walks.computeIfAbsent(image, ring::walk);
   }
@@ -114,7 +120,8 @@
   void take(String shard, long stamp) {
     held.put(shard, stamp);
     attempts.put(shard, 0L);
-    replica.kind(Replica.BLOCKS).keySet().forEach(this::block);
+    nextRing = 0;
+    List.copyOf(blocks.hosts()).forEach(this::block);
     index.all().keySet().forEach(this::job);
     placeDue = true;
     LOG.info(
@@ -129,49 +136,48 @@
   void drop(String shard) {
     held.removeLong(shard);
     jobs.values().removeIf(job -> job.shard.equals(shard));
-    machines.values().removeIf(machine -> machine.shard.equals(shard));
-    ringStale = true;
+    machines.values().stream()
+        .filter(machine -> machine.shard.equals(shard))
+        .toList()
+        .forEach(this::remove);
   }
 
   // ---- following the replica ----
 
-  /** A block was written or removed. */
+  /** The block that a machine is in was written or removed. */
   void block(String host) {
-    Item item = replica.get(Replica.BLOCKS, host);
+    BlockIndex.Block block = blocks.of(host);
     Machine known = machines.get(host);
-    if (item == null || !holds(item.data().path("shard").asText())) {
+    if (block == null || !holds(block.record().shard())) {
       if (known != null && known.blockStamp > 0 && known.placed.isEmpty()) {
-        machines.remove(host);
-        ringStale = true;
+        remove(known);
       }
       return;
     }
     if (known != null && known.blockStamp == 0) {
       return; // It is being released; forget() looks at the block again.
     }
-    JsonNode data = item.data();
-    if (known != null && !known.shard.equals(data.path("shard").asText())) {
-      machines.remove(host); // It was empty and moved between two shards of ours.
+    BlockRecord record = block.record();
+    if (known != null && !known.shard.equals(record.shard())) {
+      remove(known); // It was empty and moved between two shards of ours.
       known = null;
     }
     if (known == null) {
       known =
           new Machine(
               host,
-              data.path("shard").asText(),
-              data.path("flavour").asText(),
-              data.path("hall").asText(),
-              data.path("lendable").asBoolean(),
-              data.path("at").asLong(),
+              record.shard(),
+              record.blockClass().flavour(),
+              record.blockClass().hall(),
+              record.blockClass().lendable(),
+              record.hosts().get(host),
               now());
       known.type = types.get(known.flavour);
       machines.put(host, known);
       ringStale = true;
+      known.since = Math.max(block.stamp(), held.getLong(known.shard));
     }
-    if (data.hasNonNull("endpoint")) {
-      known.endpoint = data.path("endpoint").asText();
-    }
-    known.blockStamp = Math.max(known.blockStamp, item.stamp());
+    known.blockStamp = Math.max(known.blockStamp, block.stamp());
   }
 
   /** A job was written or removed. */
@@ -207,8 +213,10 @@
         // An earlier holder may have sent it: only the worker or a release can clear it.
         p.recorded = true;
         p.sent = true;
-        p.stop = fresh.cancelled;
         fresh.place(p);
+        if (fresh.cancelled) {
+          fresh.halt(p);
+        }
       }
     }
     jobs.put(id, fresh);
@@ -220,15 +228,21 @@
     Machine known = machines.get(host);
     if (known == null) {
       known = new Machine(host, shard, "", "", true, 0, now());
+      known.since = held.getLong(shard);
       machines.put(host, known);
       ringStale = true;
     }
     return known;
   }
 
-  void forget(Machine machine) {
+  private void remove(Machine machine) {
+    machine.dropped = true;
     machines.remove(machine.host);
     ringStale = true;
+  }
+
+  void forget(Machine machine) {
+    remove(machine);
     block(machine.host);
   }
 
@@ -244,7 +258,7 @@
     JobRun run = jobs.get(id);
     if (run != null && !run.cancelled && replica.get(Replica.CANCELS, id) != null) {
       run.cancelled = true;
-      List.copyOf(run.placed.values()).forEach(p -> p.stop = true);
+      run.haltAll();
       placeDue = true;
     }
   }
--- /dev/null
+++ b/src/main/java/dunlincroft/protocol/BlockRecord.java
@@ -0,0 +1,66 @@
+package dunlincroft.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * A block: machines of one class, leased to a shard together. Each host stands with the time of day
+ * of its rental, in milliseconds.
+ */
+public record BlockRecord(String shard, BlockClass blockClass, Map<String, Long> hosts) {
+  public BlockRecord {
+    hosts = Collections.unmodifiableMap(new LinkedHashMap<>(hosts));
+  }
+
+  /** Reads a block; the version before had one machine a block, under the machine's name. */
+  public static BlockRecord parse(String name, JsonNode map) throws Malformed {
+    Map<String, Long> hosts = new LinkedHashMap<>();
+    JsonNode list = map.get("hosts");
+    if (list == null) {
+      hosts.put(name, Fields.count(map, "at"));
+    } else if (list.isObject()) {
+      for (Iterator<String> names = list.fieldNames(); names.hasNext(); ) {
+        String host = names.next();
+        hosts.put(host, Fields.count(list, host));
+      }
+    } else {
+      throw new Malformed("hosts must be a map");
+    }
+    return new BlockRecord(
+        Fields.text(map, "shard"),
+        new BlockClass(
+            Fields.text(map, "flavour"), Fields.text(map, "hall"), Fields.flag(map, "lendable")),
+        hosts);
+  }
+
+  public ObjectNode toNode() {
+    ObjectNode map =
+        Cbor.map()
+            .put("shard", shard)
+            .put("flavour", blockClass.flavour())
+            .put("hall", blockClass.hall())
+            .put("lendable", blockClass.lendable());
+    ObjectNode list = map.putObject("hosts");
+    hosts.forEach(list::put);
+    return map;
+  }
+
+  /** The block without these machines. */
+  public BlockRecord without(Collection<String> gone) {
+    Map<String, Long> left = new LinkedHashMap<>(hosts);
+    left.keySet().removeAll(gone);
+    return new BlockRecord(shard, blockClass, left);
+  }
+
+  /** These of its machines, leased to another shard. */
+  public BlockRecord part(Collection<String> some, String to) {
+    Map<String, Long> taken = new LinkedHashMap<>(hosts);
+    taken.keySet().retainAll(some);
+    return new BlockRecord(to, blockClass, taken);
+  }
+}
--- a/src/main/java/dunlincroft/protocol/WorkerReport.java
+++ b/src/main/java/dunlincroft/protocol/WorkerReport.java
@@ -22,14 +22,10 @@
 
   /** One task on the machine; {@code job} and {@code task} are taken from its id. */
   public record Piece(
-      String job, int task, long attempt, String status, String cause, boolean stored) {
+      String id, String job, int task, long attempt, String status, String cause, boolean stored) {
     public boolean exited() {
       return status.equals(Wire.EXITED);
     }
-
-    public String id() {
-      return Wire.piece(job, task);
-    }
   }
 
   public static WorkerReport parse(JsonNode map) throws Malformed {
@@ -45,6 +41,7 @@
       }
       pieces.add(
           new Piece(
+              id,
               id.substring(0, Math.max(slash, 0)),
               task,
               Fields.count(item, "try"),
--- a/src/main/java/dunlincroft/transport/PeerLink.java
+++ b/src/main/java/dunlincroft/transport/PeerLink.java
@@ -59,11 +59,14 @@
             out.writeString(beat.node());
             out.writeLong(beat.incarnation());
             out.writeLong(beat.stateSilentMs());
+            out.writeDouble(beat.requests());
+            out.writeDouble(beat.writes());
           }
 
           @Override
           public Beat read(Kryo k, Input in, Class<? extends Beat> type) {
-            return new Beat(in.readString(), in.readLong(), in.readLong());
+            return new Beat(
+                in.readString(), in.readLong(), in.readLong(), in.readDouble(), in.readDouble());
           }
         },
         10);
--- a/src/test/java/dunlincroft/sim/Checks.java
+++ b/src/test/java/dunlincroft/sim/Checks.java
@@ -106,7 +106,21 @@
   /** A job's tasks are recorded on machines of its own shard alone: whoever takes it finds them. */
   private void records() {
     Map<String, JsonNode> jobs = cluster.state.under("d/jobs/");
-    Map<String, JsonNode> blocks = cluster.state.under("d/blocks/");
+    Map<String, JsonNode> shards = new HashMap<>();
+    cluster
+        .state
+        .under("d/blocks/")
+        .forEach(
+            (name, block) ->
+                block
+                    .path("hosts")
+                    .fieldNames()
+                    .forEachRemaining(
+                        host -> {
+                          if (shards.put(host, block.path("shard")) != null) {
+                            broke("two_blocks", host);
+                          }
+                        }));
     cluster
         .state
         .under("d/pages/")
@@ -114,10 +128,8 @@
             (name, page) -> {
               JsonNode job = jobs.get(name.substring(0, name.lastIndexOf('/')));
               for (JsonNode group : page.path("at")) {
-                JsonNode block = blocks.get(group.get(0).asText());
-                if (job != null
-                    && block != null
-                    && !block.path("shard").equals(job.path("shard"))) {
+                JsonNode shard = shards.get(group.get(0).asText());
+                if (job != null && shard != null && !shard.equals(job.path("shard"))) {
                   broke("wrong_shard", name + " on " + group.get(0));
                 }
               }
--- a/src/test/java/dunlincroft/transport/LoopbackTest.java
+++ b/src/test/java/dunlincroft/transport/LoopbackTest.java
@@ -56,7 +56,7 @@
   void beatsSurviveTheLink(
       @ForAll @AlphaChars String node, @ForAll long incarnation, @ForAll long silent) {
     PeerLink link = new PeerLink(env, () -> null, beat -> {});
-    Beat beat = new Beat(node, incarnation, silent);
+    Beat beat = new Beat(node, incarnation, silent, silent / 3.0, incarnation / 7.0);
     assertThat(link.decode(link.encode(beat))).isEqualTo(beat);
   }
 }
