--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -83,7 +83,7 @@
   public static final double WISH_S = 2;
 
   /** All controllers' floors together are this part, 1 in so many, of a rate: for what is new. */
-  public static final double WISH_FLOORS = 3;
+  public static final double WISH_FLOORS = 5;
 
   /** Fraction of a second's changes that progress of jobs leaves to starts, ends, acceptance. */
   public static final double WRITES_KEPT = 0.1;
@@ -112,7 +112,7 @@
    * Machines. Below this many for each holder the leader leases to fewer holders: sharing splits
    * caches and strands room, which a node's share of the state service's rate must be worth.
    */
-  public static final int MACHINES_PER_HOLDER = 200;
+  public static final int MACHINES_PER_HOLDER = 2000;
 
   /** Fraction. A holder goes once the machines fall below this part of what let it in. */
   public static final double FEWER_HOLDERS = 0.7;
@@ -183,13 +183,22 @@
   public static final long PLACE_REST = 4;
 
   /** Milliseconds. Completions are recorded this much later, many in one write. */
-  public static final long LAZY_WRITE_MS = 1500;
+  public static final long LAZY_WRITE_MS = 700;
 
-  /** Transactions of jobs' progress that may be without an answer at a time. */
-  public static final int WRITES_OUT = 8;
+  /** Milliseconds. Between two writes of a shard's log for work that is not prod: fuller ones. */
+  public static final long LOG_PAUSE_MS = 200;
 
-  /** Milliseconds. Between two writes of one page for work that is not prod: fewer, fuller ones. */
-  public static final long PAGE_PAUSE_MS = 350;
+  /** Slots. Above this many in use, pages are written so that the oldest can be filled anew. */
+  public static final int LOG_SLOTS = 24;
+
+  /** Bytes. A slot is read whole by every controller at each write: it is kept below this. */
+  public static final int LOG_BYTES = 10 * 1024;
+
+  /** Milliseconds. Before a key whose write has no answer is read once more. */
+  public static final long REREAD_MS = 200;
+
+  /** Guards that a transaction may have for each change that it may make; so says the protocol. */
+  public static final int GUARDS_PER_OP = 4;
 
   /** Milliseconds. After a refused start a machine's room is doubted for this long. */
   public static final long DOUBT_MS = 2500;
--- a/src/main/java/dunlincroft/Settings.java
+++ b/src/main/java/dunlincroft/Settings.java
@@ -163,6 +163,18 @@
     return value;
   }
 
+  /** Characters of one slot of a shard's log. */
+  public int logBytes() {
+    return Math.min(Constants.LOG_BYTES, (int) (valueKb * 1024 * 0.95) - 16);
+  }
+
+  /**
+   * Tasks of one entry that is sure to fit into a slot, with the longest id that a job may have.
+   */
+  public int logTasks() {
+    return Math.max(1, (logBytes() - 250) / Constants.PAGE_ENTRY_BYTES);
+  }
+
   /** Machines of one block, so that the block fits a value: one rental's at the most. */
   public int blockMachines() {
     int fit = (int) (valueKb * 1024 / Constants.BLOCK_ENTRY_BYTES) - 4;
--- a/src/main/java/dunlincroft/bookkeeping/JobIndex.java
+++ b/src/main/java/dunlincroft/bookkeeping/JobIndex.java
@@ -1,34 +1,55 @@
 package dunlincroft.bookkeeping;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.bookkeeping.Replica.Item;
 import dunlincroft.protocol.Fields;
 import dunlincroft.protocol.JobSpec;
+import dunlincroft.protocol.LogRecord;
 import dunlincroft.protocol.Malformed;
 import dunlincroft.protocol.PageRecord;
+import dunlincroft.protocol.TaskState;
+import dunlincroft.protocol.TaskState.Place;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Map.Entry;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Every unfinished job as the state service records it, whoever owns it. */
+/**
+ * Every unfinished job as the state service records it, whoever owns it: its pages, with the later
+ * entries of its shard's log on top of them.
+ */
 public final class JobIndex {
   private static final Logger LOG = LoggerFactory.getLogger(JobIndex.class);
 
-  /** A recorded job with its pages. */
+  /** What is recorded of a run of a job's tasks besides their state. */
+  private static final class Page {
+    /** The page holds all entries up to this number. */
+    private long upTo;
+
+    /** The first entry that it does not hold; 0: none. */
+    private long oldest;
+  }
+
+  /** A recorded job. */
   public static final class Job {
     public final JobSpec spec;
     public final String shard;
     public final int pageTasks;
     public final long acceptedAt;
-    private final Map<Integer, PageRecord> pages = new Object2ObjectLinkedOpenHashMap<>();
-
-    /** Sums over the pages, kept with every change: every round asks for them. */
-    private int done;
-
-    private int placed;
+    private final BitSet done = new BitSet();
+    private final Int2ObjectOpenHashMap<Place> places = new Int2ObjectOpenHashMap<>();
+    private final Int2ObjectOpenHashMap<Page> pages = new Int2ObjectOpenHashMap<>();
+    private int doneCount;
 
     Job(JobSpec spec, String shard, int pageTasks, long acceptedAt) {
       this.spec = spec;
@@ -37,28 +58,81 @@
       this.acceptedAt = acceptedAt;
     }
 
-    public Collection<Entry<Integer, PageRecord>> pages() {
-      return pages.entrySet();
+    /** Tasks that may be on a machine. */
+    public Collection<Place> places() {
+      return places.values();
     }
 
-    public int done() {
+    public BitSet doneTasks() {
       return done;
     }
 
+    public int done() {
+      return doneCount;
+    }
+
     public int placed() {
-      return placed;
+      return places.size();
+    }
+
+    /** The first entry of the log that the page does not hold yet; 0: none. */
+    public long oldest(int page) {
+      Page there = pages.get(page);
+      return there == null ? 0 : there.oldest;
+    }
+
+    /** Pages of which something is recorded. */
+    public Set<Integer> pageNumbers() {
+      return pages.keySet();
     }
 
-    private void page(int number, PageRecord record) {
-      PageRecord before = record == null ? pages.remove(number) : pages.put(number, record);
-      count(before, -1);
-      count(record, 1);
+    private Page page(int number) {
+      return pages.computeIfAbsent(number, n -> new Page());
     }
 
-    private void count(PageRecord record, int sign) {
-      if (record != null) {
-        done += sign * record.done().cardinality();
-        placed += sign * record.places().size();
+    private void set(int task, boolean isDone, Place place) {
+      done.set(task, isDone);
+      if (place == null) {
+        places.remove(task);
+      } else {
+        places.put(task, place);
+      }
+    }
+
+    /** Puts a page in the place of what was known of its tasks. */
+    private void reset(int number, PageRecord record) {
+      int first = number * pageTasks;
+      int end = Math.min(first + pageTasks, spec.pieces());
+      for (int task = first; task < end; task++) {
+        set(task, record != null && record.state().done().get(task - first), null);
+      }
+      if (record == null) {
+        pages.remove(number);
+      } else {
+        for (Place place : record.state().places()) {
+          int task = first + place.task();
+          set(task, false, new Place(task, place.host(), place.attempt()));
+        }
+        page(number).upTo = record.upTo();
+        page(number).oldest = 0;
+      }
+      doneCount = done.cardinality();
+    }
+
+    /** Puts an entry on top, as far as the pages do not hold it. */
+    private void apply(LogRecord.Entry entry) {
+      TaskState state = entry.state();
+      state.done().stream().forEach(task -> apply(entry.number(), task, true, null));
+      state.waiting().stream().forEach(task -> apply(entry.number(), task, false, null));
+      state.places().forEach(place -> apply(entry.number(), place.task(), false, place));
+      doneCount = done.cardinality();
+    }
+
+    private void apply(long number, int task, boolean isDone, Place place) {
+      Page page = page(task / pageTasks);
+      if (number > page.upTo && task < spec.pieces()) {
+        set(task, isDone, place);
+        page.oldest = page.oldest == 0 ? number : page.oldest;
       }
     }
   }
@@ -66,6 +140,12 @@
   private final Replica replica;
   private final Map<String, Job> jobs = new Object2ObjectLinkedOpenHashMap<>();
 
+  /** The number of the last entry taken in, by shard. */
+  private final Object2LongOpenHashMap<String> applied = new Object2LongOpenHashMap<>();
+
+  /** Names of jobs and shards of which a record cannot be read: nobody may guess what it says. */
+  private final Set<String> unreadable = new HashSet<>();
+
   public JobIndex(Replica replica) {
     this.replica = replica;
   }
@@ -78,9 +158,18 @@
     return jobs;
   }
 
+  /** The number of the last entry in a shard's log. */
+  public long lastNumber(String shard) {
+    return applied.getLong(shard);
+  }
+
+  /** Whether all that is recorded of a job could be read; only then may it be run. */
+  public boolean readable(String id, String shard) {
+    return !unreadable.contains(id) && !unreadable.contains(shard);
+  }
+
   /** The job's record as it is written at acceptance. */
-  public static com.fasterxml.jackson.databind.node.ObjectNode record(
-      JobSpec spec, String shard, int pageTasks, long acceptedAt) {
+  public static ObjectNode record(JobSpec spec, String shard, int pageTasks, long acceptedAt) {
     return spec.toNode()
         .put("shard", shard)
         .put("pageTasks", pageTasks)
@@ -92,41 +181,145 @@
     return job + "/" + page;
   }
 
+  /** Name of a log slot's key. */
+  public static String slotName(String shard, int slot) {
+    return shard + "/" + slot;
+  }
+
+  private static String owner(String name) {
+    return name.substring(0, name.lastIndexOf('/'));
+  }
+
   /** Follows a change of the replica. */
   public void changed(String kind, String name) {
     try {
-      if (kind.equals(Replica.JOBS)) {
-        Item item = replica.get(kind, name);
-        if (item == null) {
-          jobs.remove(name);
-        } else if (!jobs.containsKey(name)) {
-          JsonNode data = item.data();
-          Job job =
-              new Job(
-                  JobSpec.parse(data),
-                  Fields.text(data, "shard"),
-                  (int) Fields.count(data, "pageTasks"),
-                  Fields.count(data, "acceptedAt"));
-          jobs.put(name, job);
-          int pages = (job.spec.pieces() + job.pageTasks - 1) / job.pageTasks;
-          for (int page = 0; page < pages; page++) {
-            page(job, name, page);
+      switch (kind) {
+        case Replica.JOBS -> {
+          if (replica.get(kind, name) == null) {
+            jobs.remove(name);
+            unreadable.remove(name);
+          } else if (!jobs.containsKey(name)) {
+            load(name);
+          }
+        }
+        case Replica.PAGES -> {
+          Job job = jobs.get(owner(name));
+          if (job != null) {
+            page(job, Integer.parseInt(name.substring(name.lastIndexOf('/') + 1)));
+            later(job).forEach(job::apply);
           }
         }
-      } else if (kind.equals(Replica.PAGES)) {
-        int slash = name.lastIndexOf('/');
-        Job job = jobs.get(name.substring(0, slash));
-        if (job != null) {
-          page(job, name.substring(0, slash), Integer.parseInt(name.substring(slash + 1)));
+        case Replica.LOGS -> {
+          Item item = replica.get(kind, name);
+          if (item != null) {
+            news(owner(name), item.data());
+          }
         }
+        default -> {}
       }
     } catch (Malformed | NumberFormatException e) {
-      LOG.error("record {}/{} is malformed: {}", kind, name, e.getMessage());
+      unreadable(kind, name, e);
+    }
+  }
+
+  private void unreadable(String kind, String name, Exception e) {
+    LOG.error("record {}/{} cannot be read: {}", kind, name, e.getMessage());
+    unreadable.add(kind.equals(Replica.JOBS) ? name : owner(name));
+  }
+
+  /** Everything once more: a reading shows keys of different moments, in the order of names. */
+  public void rebuild() {
+    jobs.clear();
+    applied.clear();
+    unreadable.clear();
+    for (String id : replica.kind(Replica.JOBS).keySet()) {
+      try {
+        load(id);
+      } catch (Malformed e) {
+        unreadable(Replica.JOBS, id, e);
+      }
+    }
+    List<LogRecord.Entry> entries = new ArrayList<>();
+    replica
+        .kind(Replica.LOGS)
+        .forEach(
+            (name, item) -> {
+              try {
+                LogRecord slot = LogRecord.parse(item.data());
+                entries.addAll(slot.entries());
+                applied.mergeLong(owner(name), slot.last(), Math::max);
+              } catch (Malformed e) {
+                unreadable(Replica.LOGS, name, e);
+              }
+            });
+    entries.sort(Comparator.comparingLong(LogRecord.Entry::number));
+    for (LogRecord.Entry entry : entries) {
+      Job job = jobs.get(entry.job());
+      if (job != null) {
+        job.apply(entry);
+      }
+    }
+  }
+
+  /** Takes in a job and its pages; its log entries come after it. */
+  private void load(String id) throws Malformed {
+    JsonNode data = replica.get(Replica.JOBS, id).data();
+    Job job =
+        new Job(
+            JobSpec.parse(data),
+            Fields.text(data, "shard"),
+            (int) Fields.count(data, "pageTasks"),
+            Fields.count(data, "acceptedAt"));
+    jobs.put(id, job);
+    int pages = (job.spec.pieces() + job.pageTasks - 1) / job.pageTasks;
+    for (int page = 0; page < pages; page++) {
+      if (replica.get(Replica.PAGES, pageName(id, page)) != null) {
+        page(job, page);
+      }
+    }
+  }
+
+  private void page(Job job, int number) {
+    String name = pageName(job.spec.ref(), number);
+    Item item = replica.get(Replica.PAGES, name);
+    try {
+      job.reset(number, item == null ? null : PageRecord.parse(item.data()));
+    } catch (Malformed e) {
+      unreadable(Replica.PAGES, name, e);
     }
   }
 
-  private void page(Job job, String id, int page) throws Malformed {
-    Item item = replica.get(Replica.PAGES, pageName(id, page));
-    job.page(page, item == null ? null : PageRecord.parse(item.data()));
+  /** Entries of a slot that were not taken in yet. */
+  private void news(String shard, JsonNode slot) throws Malformed {
+    long last = applied.getLong(shard);
+    JsonNode list = Fields.list(slot, "log");
+    int from = list.size();
+    while (from > 0 && Fields.count(list.get(from - 1), "n") > last) {
+      from--;
+    }
+    for (; from < list.size(); from++) {
+      LogRecord.Entry entry = LogRecord.Entry.parse(list.get(from));
+      Job job = jobs.get(entry.job());
+      if (job != null) {
+        job.apply(entry);
+      }
+      applied.put(shard, Math.max(entry.number(), applied.getLong(shard)));
+    }
+  }
+
+  /** What the log still says of a job, in order: pages may be written after later entries. */
+  private List<LogRecord.Entry> later(Job job) throws Malformed {
+    List<LogRecord.Entry> entries = new ArrayList<>();
+    for (Map.Entry<String, Item> slot : replica.kind(Replica.LOGS).entrySet()) {
+      if (owner(slot.getKey()).equals(job.shard)) {
+        for (JsonNode item : Fields.list(slot.getValue().data(), "log")) {
+          if (item.path("job").asText().equals(job.spec.ref())) {
+            entries.add(LogRecord.Entry.parse(item));
+          }
+        }
+      }
+    }
+    entries.sort(Comparator.comparingLong(LogRecord.Entry::number));
+    return entries;
   }
 }
--- a/src/main/java/dunlincroft/bookkeeping/Replica.java
+++ b/src/main/java/dunlincroft/bookkeeping/Replica.java
@@ -27,6 +27,7 @@
   public static final String BLOCKS = "blocks";
   public static final String JOBS = "jobs";
   public static final String PAGES = "pages";
+  public static final String LOGS = "logs";
   public static final String CANCELS = "cancels";
   public static final String ENDED = "ended";
   public static final String TYPES = "types";
--- a/src/main/java/dunlincroft/coordination/Controller.java
+++ b/src/main/java/dunlincroft/coordination/Controller.java
@@ -122,6 +122,7 @@
   }
 
   private void synced() {
+    world.index.rebuild();
     members.names().forEach(members::shardChanged);
   }
 
--- a/src/main/java/dunlincroft/coordination/JobRun.java
+++ b/src/main/java/dunlincroft/coordination/JobRun.java
@@ -1,9 +1,13 @@
 package dunlincroft.coordination;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.protocol.JobSpec;
+import dunlincroft.protocol.LogRecord;
 import dunlincroft.protocol.PageRecord;
+import dunlincroft.protocol.TaskState;
 import it.unimi.dsi.fastutil.ints.Int2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -13,24 +17,16 @@
 
 /** A job as its owner runs it: which tasks are done, placed or waiting. */
 final class JobRun {
-  /** A durable part of the job: the record of a run of its tasks. */
+  /** A run of the job's tasks that can be recorded by itself, so that the log may forget. */
   final class Page {
     final int index;
     long stamp;
-    boolean inFlight;
-    boolean uncertain;
-
-    /** Since when it differs from its record; -1: it does not. */
-    long dirtySince = -1;
-
-    /** A start waits for this write. */
-    boolean urgent;
 
-    /** Machines that the record may name. */
-    private final Set<Machine> hosts = new HashSet<>();
+    /** The first entry of the log that the page does not hold; 0: none. */
+    long oldest;
 
-    /** Not written again before this. */
-    long notBefore;
+    /** A write of it has no answer yet. */
+    boolean uncertain;
 
     Page(int index) {
       this.index = index;
@@ -44,51 +40,54 @@
       return JobIndex.pageName(id, index);
     }
 
-    boolean clean() {
-      return dirtySince < 0 && !inFlight && !uncertain;
+    /** What the log has recorded of these tasks up to this number. */
+    PageRecord record(long upTo) {
+      int first = index * pageTasks;
+      int end = Math.min(first + pageTasks, spec.pieces());
+      List<TaskState.Place> places = new ArrayList<>();
+      for (int task = first; task < end; task++) {
+        Placement p = recorded.get(task);
+        if (p != null) {
+          places.add(new TaskState.Place(task - first, p.machine.host, p.attempt));
+        }
+      }
+      TaskState state = new TaskState(recordedDone.get(first, end), new BitSet(), places);
+      return new PageRecord(state, upTo);
     }
+  }
 
-    void dirty(long nowMs, boolean forStart) {
-      if (dirtySince < 0) {
-        dirtySince = nowMs;
-      }
-      urgent |= forStart;
+  /** News of the job that are on their way to the log. */
+  static final class News {
+    private final JobRun job;
+    private final BitSet tasks;
+    private final BitSet done;
+    private final List<Placement> places;
+
+    private News(JobRun job, BitSet tasks, BitSet done, List<Placement> places) {
+      this.job = job;
+      this.tasks = tasks;
+      this.done = done;
+      this.places = places;
     }
 
-    int first() {
-      return index * pageTasks;
+    JobRun job() {
+      return job;
     }
 
-    List<Placement> placements() {
-      List<Placement> found = new ArrayList<>();
-      int end = Math.min(first() + pageTasks, spec.pieces());
-      if (placed.size() < end - first()) {
-        placed
-            .values()
-            .forEach(
-                p -> {
-                  if (p.task >= first() && p.task < end) {
-                    found.add(p);
-                  }
-                });
-      } else {
-        for (int task = first(); task < end; task++) {
-          Placement p = placed.get(task);
-          if (p != null) {
-            found.add(p);
-          }
-        }
-      }
-      return found;
+    /** Whether a task is to start once this is recorded. */
+    boolean starts() {
+      return places.stream().anyMatch(p -> !p.recorded);
     }
 
-    PageRecord record() {
-      int end = Math.min(first() + pageTasks, spec.pieces());
-      List<PageRecord.Place> places = new ArrayList<>();
-      for (Placement p : placements()) {
-        places.add(new PageRecord.Place(p.task - first(), p.machine.host, p.attempt));
+    ObjectNode entry(long number) {
+      BitSet waiting = (BitSet) tasks.clone();
+      waiting.andNot(done);
+      List<TaskState.Place> at = new ArrayList<>();
+      for (Placement p : places) {
+        waiting.clear(p.task);
+        at.add(new TaskState.Place(p.task, p.machine.host, p.attempt));
       }
-      return new PageRecord(done.get(first(), end), places);
+      return new LogRecord.Entry(number, job.id, new TaskState(done, waiting, at)).toNode();
     }
   }
 
@@ -109,6 +108,25 @@
    */
   private final BitSet booked = new BitSet();
 
+  /** What the log and the pages say: where tasks may be, and which are done. */
+  private final Int2ObjectOpenHashMap<Placement> recorded = new Int2ObjectOpenHashMap<>();
+
+  private final BitSet recordedDone = new BitSet();
+
+  /** Machines that a record may name. */
+  private final Set<Machine> hosts = new HashSet<>();
+
+  /** Tasks whose state differs from the record, and since when the first of them does; -1: none. */
+  private final BitSet changed = new BitSet();
+
+  long dirtySince = -1;
+
+  /** A start waits to be recorded. */
+  boolean urgent;
+
+  /** News that are on their way to the log, or null. */
+  private News under;
+
   private final Page[] pages;
   boolean cancelled;
   boolean finishing;
@@ -137,7 +155,7 @@
     this.pages = new Page[(spec.pieces() + pageTasks - 1) / pageTasks];
   }
 
-  Page page(int task) {
+  private Page page(int task) {
     return pageAt(task / pageTasks);
   }
 
@@ -152,36 +170,115 @@
     return booked.cardinality();
   }
 
-  /** A page was written: of its tasks only those that it named then, or are placed now, count. */
-  void settle(Page page, List<Placement> named) {
-    booked.clear(page.first(), page.first() + pageTasks);
-    named.forEach(p -> booked.set(p.task));
+  // ---- the record ----
+
+  void dirty(int task, long nowMs, boolean forStart) {
+    changed.set(task);
+    dirtySince = dirtySince < 0 ? nowMs : dirtySince;
+    urgent |= forStart;
+  }
+
+  /** Whether what we know of a task is what is recorded of it. */
+  boolean clean(int task) {
+    return !changed.get(task) && (under == null || !under.tasks.get(task));
+  }
+
+  boolean underWay() {
+    return under != null;
+  }
+
+  /** Takes the news, of so many tasks at the most, to be recorded. */
+  News news(int most) {
+    BitSet tasks = new BitSet();
+    BitSet isDone = new BitSet();
+    List<Placement> places = new ArrayList<>();
+    int n = 0;
+    for (int task = changed.nextSetBit(0);
+        task >= 0 && n < most;
+        task = changed.nextSetBit(task + 1)) {
+      n++;
+      tasks.set(task);
+      if (done.get(task)) {
+        isDone.set(task);
+      } else if (placed.get(task) != null) {
+        places.add(placed.get(task));
+      }
+    }
+    return new News(this, tasks, isDone, places);
+  }
+
+  /** News leave for the log: until their outcome is known, none of the job follow. */
+  void send(News news) {
+    under = news;
+    changed.andNot(news.tasks);
+    dirtySince = changed.isEmpty() ? -1 : dirtySince;
+    urgent &= !changed.isEmpty();
+  }
+
+  /** The news were certainly not recorded, or may yet be: later ones say all of it again. */
+  void unsent(long nowMs) {
+    under.tasks.stream().forEach(task -> dirty(task, nowMs, true));
+    under = null;
+  }
+
+  /** The news are recorded. Returns the placements whose orders may leave now. */
+  List<Placement> settle(long number) {
+    News news = under;
+    under = null;
+    news.tasks.stream().forEach(recorded::remove);
+    recordedDone.andNot(news.tasks);
+    recordedDone.or(news.done);
+    List<Placement> starting = new ArrayList<>();
+    for (Placement p : news.places) {
+      recorded.put(p.task, p);
+      if (!p.recorded) {
+        p.recorded = true;
+        starting.add(p);
+      }
+    }
+    for (int task = news.tasks.nextSetBit(0); task >= 0; task = news.tasks.nextSetBit(task + 1)) {
+      booked.set(task, recorded.containsKey(task) || placed.containsKey(task));
+      Page page = page(task);
+      page.oldest = page.oldest == 0 ? number : page.oldest;
+    }
     Set<Machine> still = new HashSet<>();
-    named.forEach(p -> still.add(p.machine));
-    for (Placement p : page.placements()) {
-      booked.set(p.task);
-      still.add(p.machine);
+    recorded.values().forEach(p -> still.add(p.machine));
+    placed.values().forEach(p -> still.add(p.machine));
+    hosts.removeIf(machine -> !still.contains(machine) && machine.named.remove(this));
+    return starting;
+  }
+
+  /** Takes over what the records say. */
+  void load(JobIndex.Job from) {
+    from.doneTasks().stream().forEach(this::finish);
+    recordedDone.or(from.doneTasks());
+    for (int number : from.pageNumbers()) {
+      pageAt(number).oldest = from.oldest(number);
     }
-    page.hosts.removeIf(machine -> !still.contains(machine) && machine.named.remove(page));
+  }
+
+  /** A placement that a record names. */
+  void placeRecorded(Placement p) {
+    p.recorded = true;
+    place(p);
+    recorded.put(p.task, p);
   }
 
   /** The job is over: no record of it names a machine. */
   void forget() {
-    for (Page page : knownPages()) {
-      page.hosts.forEach(machine -> machine.named.remove(page));
-    }
+    hosts.forEach(machine -> machine.named.remove(this));
   }
 
   /**
-   * Records of several pages may still name tasks elsewhere than they are: wait until they agree.
+   * Entries of a job too large for one slot may disagree on where its tasks are: wait for the last.
    */
   boolean unsettled() {
     return pages.length > 1
         && (spec.spread() || spec.samePlace())
-        && knownPages().stream().anyMatch(page -> !page.clean());
+        && (under != null || !changed.isEmpty());
   }
 
-  /** Pages that exist in the state service or are on their way there. */
+  /** Pages of which something is recorded, here or in the log. */
   List<Page> knownPages() {
     List<Page> known = new ArrayList<>();
     for (Page page : pages) {
@@ -218,9 +315,8 @@
     busy.set(p.task);
     perZone.addTo(p.machine.hall, 1);
     p.machine.add(p);
-    Page page = page(p.task);
-    page.hosts.add(p.machine);
-    p.machine.named.add(page);
+    hosts.add(p.machine);
+    p.machine.named.add(this);
   }
 
   /** Takes a placement away: the task is proven not to be on the machine any more. */
--- a/src/main/java/dunlincroft/coordination/Ledger.java
+++ b/src/main/java/dunlincroft/coordination/Ledger.java
@@ -1,5 +1,6 @@
 package dunlincroft.coordination;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.Constants;
 import dunlincroft.bookkeeping.Replica;
@@ -13,8 +14,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -22,16 +25,17 @@
 
 /**
  * Writes the state of jobs ahead of what it allows: placements before their orders leave, ends
- * before users are told. Every write is guarded by the shard's stamp, so that a node that lost the
- * shard writes nothing more.
+ * before users are told. News of all jobs of a shard go to its log in one change; a page is written
+ * only when the log would otherwise grow too long. Every write is guarded by the shard's stamp, so
+ * that a node that lost the shard writes nothing more.
  */
 final class Ledger {
   private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
 
   private final World world;
-  private final Set<JobRun.Page> dirty = new LinkedHashSet<>();
+  private final Set<JobRun> dirty = new LinkedHashSet<>();
+  private final Map<String, ShardLog> logs = new HashMap<>();
   private Consumer<Collection<Machine>> onRecorded = machines -> {};
-  private int inFlight;
 
   Ledger(World world) {
     this.world = world;
@@ -43,32 +47,32 @@
   }
 
   void dirty(JobRun job, int task, boolean forStart) {
-    JobRun.Page page = job.page(task);
-    page.dirty(world.now(), forStart);
-    dirty.add(page);
+    job.dirty(task, world.now(), forStart);
+    dirty.add(job);
   }
 
   /**
-   * True for a page of the job as we run it now. After a shard was lost and won back the job is
-   * rebuilt from its record; a page from before, whose write was still out, must never be written
-   * again: it would undo what another holder recorded, and its tasks would run twice.
+   * True for a job as we run it now. After a shard was lost and won back the job is rebuilt from
+   * its record; what we knew before, whose write was still out, must never be written again: it
+   * would undo what another holder recorded, and its tasks would run twice.
    */
-  private boolean ours(JobRun.Page page) {
-    return world.jobs.get(page.job().id) == page.job();
+  private boolean ours(JobRun job) {
+    return world.jobs.get(job.id) == job;
   }
 
   /** Makes what waits to be recorded of a job urgent: its room or zones are wanted. */
   void hasten(JobRun job) {
-    for (JobRun.Page page : job.knownPages()) {
-      if (page.dirtySince >= 0) {
-        page.urgent = true;
-      }
-    }
+    job.urgent |= job.dirtySince >= 0;
   }
 
   /** Drops what is no longer ours to write. */
   void forget() {
-    dirty.removeIf(page -> !ours(page));
+    dirty.removeIf(job -> !ours(job));
+    logs.values().removeIf(log -> world.held.getLong(log.shard) != log.heldSince);
+  }
+
+  private boolean current(ShardLog log) {
+    return logs.get(log.shard) == log && world.held.getLong(log.shard) == log.heldSince;
   }
 
   /** Writes what is due: ends of jobs, placements, and completions that have waited long enough. */
@@ -80,122 +84,248 @@
         finish(job);
       }
     }
-    List<JobRun.Page> due = due(now);
-    world.store.backlog(due.size());
-    while (!due.isEmpty() && inFlight < Constants.WRITES_OUT) {
-      int services = (int) due.stream().takeWhile(page -> page.urgent && prod(page)).count();
-      int most = Math.max(world.store.writesFree(), services);
-      if (most == 0) {
-        return; // A page that waits costs no more when more of its tasks have moved on.
+    dirty.removeIf(job -> job.dirtySince < 0 || !ours(job));
+    int backlog = 0;
+    for (String shard : List.copyOf(world.held.keySet())) {
+      ShardLog log = logs.computeIfAbsent(shard, s -> new ShardLog(world, s));
+      List<JobRun> news = waiting(shard);
+      if (log.busy) {
+        continue;
+      }
+      boolean prod = news.stream().anyMatch(job -> job.urgent && prod(job));
+      if (prod || (news.stream().anyMatch(job -> now >= dueAt(job, log)))) {
+        backlog++;
+        if (prod || world.store.writesFree() > 0) {
+          write(log, news, now);
+        }
+      } else if (world.store.writesFree() > 0) {
+        save(log);
       }
-      writeSome(due, Math.min(most, world.settings.txnOps()), now);
     }
+    world.store.backlog(backlog);
   }
 
-  private static boolean prod(JobRun.Page page) {
-    return page.job().spec.rank() == JobSpec.Rank.PROD;
+  private static boolean prod(JobRun job) {
+    return job.spec.rank() == JobSpec.Rank.PROD;
+  }
+
+  /** Jobs of a shard with news, those that start services first, then those that start others. */
+  private List<JobRun> waiting(String shard) {
+    List<JobRun> news = new ArrayList<>();
+    for (JobRun job : dirty) {
+      if (job.shard.equals(shard) && !job.underWay() && !job.finishing) {
+        news.add(job);
+      }
+    }
+    news.sort(
+        Comparator.comparing((JobRun job) -> !(job.urgent && prod(job)))
+            .thenComparing(job -> !job.urgent)
+            .thenComparingLong(job -> job.dirtySince));
+    return news;
   }
 
-  /** Since when a page should have been written. */
-  private static long dueAt(JobRun.Page page) {
-    return page.urgent
-        ? Math.max(page.notBefore, page.dirtySince)
-        : page.dirtySince + Constants.LAZY_WRITE_MS;
+  /** When a job's news should be written; they then take along those of all others. */
+  private static long dueAt(JobRun job, ShardLog log) {
+    return job.urgent
+        ? Math.max(job.dirtySince, log.lastWriteAt + Constants.LOG_PAUSE_MS)
+        : job.dirtySince + Constants.LAZY_WRITE_MS;
   }
 
-  /** What should be written by now: services that start, then what has waited longest. */
-  private List<JobRun.Page> due(long now) {
-    List<JobRun.Page> due = new ArrayList<>();
-    for (JobRun.Page page : dirty) {
-      if (!page.inFlight && !page.uncertain && !page.job().finishing && now >= dueAt(page)) {
-        due.add(page);
+  // ---- the log ----
+
+  /** The first entry that some page of the shard does not hold. */
+  private long oldestMissing(String shard) {
+    long oldest = Long.MAX_VALUE;
+    for (JobRun job : world.jobs.values()) {
+      if (job.shard.equals(shard)) {
+        for (JobRun.Page page : job.knownPages()) {
+          oldest = page.oldest > 0 ? Math.min(oldest, page.oldest) : oldest;
+        }
       }
     }
-    due.sort(
-        Comparator.comparing((JobRun.Page page) -> !(page.urgent && prod(page)))
-            .thenComparingLong(Ledger::dueAt));
-    return due;
+    return oldest;
   }
 
-  /** Takes pages of the first one's shard off the list and writes them in one transaction. */
-  private void writeSome(List<JobRun.Page> due, int most, long now) {
-    String shard = due.get(0).job().shard;
-    Txn txn = new Txn().guard(Wire.key(Replica.SHARDS, shard), world.held.getLong(shard));
-    List<JobRun.Page> pages = new ArrayList<>();
-    List<List<Placement>> placements = new ArrayList<>();
-    int bytes = 0;
-    boolean starts = false;
-    for (JobRun.Page page : due) {
-      JobRun job = page.job();
-      if (!job.shard.equals(shard)) {
-        continue;
-      }
-      List<Placement> places = page.placements();
-      bytes += Constants.PAGE_ENTRY_BYTES * (places.size() + 8);
-      if (!pages.isEmpty() && bytes > Constants.TXN_BYTES) {
-        break;
-      }
-      String key = Wire.key(Replica.PAGES, page.name());
-      txn.guard(key, page.stamp).put(key, page.record().toNode());
-      if (page.urgent) {
-        starts = true;
-        txn.guard(Wire.key(Replica.CANCELS, job.id), 0);
-        if (page.stamp == 0) {
-          txn.guard(Wire.key(Replica.JOBS, job.id), world.replica.stamp(Replica.JOBS, job.id));
+  private void write(ShardLog log, List<JobRun> jobs, long now) {
+    if (!log.started()) {
+      log.nextSlot(oldestMissing(log.shard));
+    }
+    int slotBytes = world.settings.logBytes();
+    int guards = Constants.GUARDS_PER_OP * world.settings.txnOps() - 2;
+    long number = log.nextNumber();
+    List<JobRun.News> news = new ArrayList<>();
+    List<ObjectNode> entries = new ArrayList<>();
+    List<String> cancels = new ArrayList<>();
+    int bytes = log.bytes();
+    for (JobRun job : jobs) {
+      JobRun.News all = job.news(Integer.MAX_VALUE);
+      ObjectNode entry = all.entry(number);
+      int more = entry.toString().length() + 1;
+      if (bytes + more > slotBytes) {
+        if (!entries.isEmpty()) {
+          break;
+        }
+        if (!log.fresh()) {
+          log.nextSlot(oldestMissing(log.shard));
+          bytes = log.bytes();
+        }
+        if (bytes + more > slotBytes) {
+          all = job.news(world.settings.logTasks());
+          entry = all.entry(number);
+          more = entry.toString().length() + 1;
         }
       }
-      pages.add(page);
-      placements.add(places);
-      if (pages.size() >= most) {
-        break;
+      if (all.starts()) {
+        if (cancels.size() == guards) {
+          break;
+        }
+        cancels.add(Wire.key(Replica.CANCELS, job.id));
       }
+      bytes += more;
+      news.add(all);
+      entries.add(entry);
     }
-    due.removeAll(pages);
-    for (JobRun.Page page : pages) {
-      dirty.remove(page);
-      page.inFlight = true;
-      page.urgent = false;
-      page.dirtySince = -1;
-      page.notBefore = prod(page) ? now : now + Constants.PAGE_PAUSE_MS;
-    }
-    inFlight++;
+    ObjectNode slot = log.with(entries);
+    Txn txn =
+        new Txn()
+            .guard(Wire.key(Replica.SHARDS, log.shard), log.heldSince)
+            .guard(log.key(), log.stamp())
+            .put(log.key(), slot);
+    cancels.forEach(key -> txn.guard(key, 0));
+    news.forEach(each -> each.job().send(each));
+    log.busy = true;
+    log.lastWriteAt = now;
     world.store.commit(
-        starts ? Urgency.START : Urgency.LAZY,
+        cancels.isEmpty() ? Urgency.LAZY : Urgency.START,
         txn,
-        result -> written(shard, pages, placements, result));
+        result -> {
+          switch (result.outcome()) {
+            case OK -> recorded(log, number, slot, result.epoch(), news);
+            case REFUSED -> notRecorded(log, news);
+            case CONFLICT -> {
+              conflict(result.failed());
+              reread(log, number, news);
+            }
+            default -> reread(log, number, news);
+          }
+        });
   }
 
-  private void written(
-      String shard, List<JobRun.Page> pages, List<List<Placement>> placements, Txn.Result result) {
-    inFlight--;
+  private void recorded(
+      ShardLog log, long number, JsonNode slot, long stamp, List<JobRun.News> news) {
+    if (!current(log)) {
+      return;
+    }
+    log.busy = false;
+    log.settled = number;
+    log.recorded(slot, stamp);
     Set<Machine> touched = new LinkedHashSet<>();
-    for (int i = 0; i < pages.size(); i++) {
-      JobRun.Page page = pages.get(i);
-      page.inFlight = false;
-      if (result.ok()) {
-        page.stamp = result.epoch();
-        page.job().settle(page, placements.get(i));
-        for (Placement p : placements.get(i)) {
-          if (!p.recorded) {
-            p.recorded = true;
-            touched.add(p.machine);
+    for (JobRun.News each : news) {
+      if (ours(each.job())) {
+        each.job().settle(number).forEach(p -> touched.add(p.machine));
+      }
+    }
+    world.placeDue = true;
+    onRecorded.accept(touched);
+  }
+
+  private void notRecorded(ShardLog log, List<JobRun.News> news) {
+    if (!current(log)) {
+      return;
+    }
+    log.busy = false;
+    for (JobRun.News each : news) {
+      if (ours(each.job())) {
+        each.job().unsent(world.now());
+        dirty.add(each.job());
+      }
+    }
+  }
+
+  /**
+   * A write without an answer may be applied late: then the slot's stamp is not what we think, and
+   * the next write to it fails and comes here. Nothing else is written before the slot was read.
+   */
+  private void reread(ShardLog log, long number, List<JobRun.News> news) {
+    world.store.get(
+        log.key(),
+        answer -> {
+          if (!current(log)) {
+            return;
           }
-        }
-      } else if (ours(page)) {
-        page.dirty(world.now(), true);
-        dirty.add(page);
-        if (result.outcome() != Txn.Outcome.REFUSED) {
-          reread(page);
-        }
+          try {
+            if (answer.status() == 200 || answer.status() == 404) {
+              long stamp = StateStore.stamp(answer);
+              JsonNode slot = StateStore.data(answer);
+              log.recorded(slot, stamp);
+              if (log.has(number)) {
+                recorded(log, number, slot, stamp, news);
+              } else {
+                notRecorded(log, news);
+              }
+              return;
+            }
+          } catch (Malformed e) {
+            LOG.info("slot {}: {}", log.key(), e.getMessage());
+          }
+          world.env.after(Constants.REREAD_MS, () -> reread(log, number, news));
+        });
+  }
+
+  // ---- pages ----
+
+  /**
+   * Writes pages of the jobs that keep the log's oldest slots, so that these can be filled anew.
+   */
+  private void save(ShardLog log) {
+    long oldest = oldestMissing(log.shard);
+    if (log.used(oldest) <= Constants.LOG_SLOTS) {
+      return;
+    }
+    List<JobRun.Page> behind = new ArrayList<>();
+    for (JobRun job : world.jobs.values()) {
+      if (job.shard.equals(log.shard) && !job.finishing) {
+        job.knownPages().stream().filter(p -> p.oldest > 0 && !p.uncertain).forEach(behind::add);
       }
     }
-    if (result.outcome() == Txn.Outcome.CONFLICT) {
-      conflict(result.failed());
+    behind.sort(Comparator.comparingLong(page -> page.oldest));
+    int most = Math.min(world.store.writesFree(), world.settings.txnOps());
+    Txn txn = new Txn().guard(Wire.key(Replica.SHARDS, log.shard), log.heldSince);
+    List<JobRun.Page> pages = new ArrayList<>();
+    int bytes = 0;
+    for (JobRun.Page page : behind) {
+      ObjectNode record = page.record(log.settled).toNode();
+      bytes += record.toString().length();
+      if (pages.size() >= most || (!pages.isEmpty() && bytes > Constants.TXN_BYTES)) {
+        break;
+      }
+      String key = Wire.key(Replica.PAGES, page.name());
+      txn.guard(key, page.stamp).put(key, record);
+      pages.add(page);
     }
-    if (result.ok() && world.holds(shard)) {
-      world.placeDue = true;
-      onRecorded.accept(touched);
+    if (pages.isEmpty()) {
+      return;
     }
+    log.busy = true;
+    pages.forEach(page -> page.uncertain = true);
+    world.store.commit(
+        Urgency.LAZY,
+        txn,
+        result -> {
+          if (current(log)) {
+            log.busy = false;
+          }
+          LOG.debug("{} pages of shard {} written: {}", pages.size(), log.shard, result.outcome());
+          for (JobRun.Page page : pages) {
+            if (result.ok()) {
+              page.stamp = result.epoch();
+              page.oldest = 0;
+              page.uncertain = false;
+            } else {
+              reread(page);
+            }
+          }
+        });
   }
 
   private void conflict(List<String> failed) {
@@ -221,7 +351,7 @@
     job.halting = false;
     for (Placement p : List.copyOf(job.placed.values())) {
       if (p.stop && !p.sent) {
-        if (job.page(p.task).inFlight) {
+        if (job.underWay()) {
           job.halting = true;
         } else {
           job.clear(p);
@@ -237,11 +367,11 @@
     world.store.get(
         Wire.key(Replica.PAGES, page.name()),
         answer -> {
-          if (!ours(page)) {
+          if (!ours(page.job())) {
             return;
           }
           if (answer.status() != 200 && answer.status() != 404) {
-            world.env.after(200, () -> reread(page));
+            world.env.after(Constants.REREAD_MS, () -> reread(page));
             return;
           }
           try {
@@ -249,7 +379,7 @@
             page.uncertain = false;
           } catch (Malformed e) {
             LOG.info("page {}: {}", page.name(), e.getMessage());
-            world.env.after(200, () -> reread(page));
+            world.env.after(Constants.REREAD_MS, () -> reread(page));
           }
         });
   }
@@ -257,7 +387,7 @@
   /** The final state replaces the job in one transaction. */
   private void finish(JobRun job) {
     List<JobRun.Page> pages = job.knownPages();
-    if (pages.stream().anyMatch(page -> page.inFlight || page.uncertain)) {
+    if (job.underWay() || pages.stream().anyMatch(page -> page.uncertain)) {
       return;
     }
     boolean withdrawn = job.cancelled;
@@ -300,7 +430,7 @@
                 job.id,
                 withdrawn ? Wire.WITHDRAWN : Wire.DONE,
                 world.env.wallMillis() - job.acceptedAt);
-            pages.forEach(dirty::remove);
+            dirty.remove(job);
             return;
           }
           LOG.info("end of job {} not written: {} {}", job.id, result.outcome(), result.failed());
--- a/src/main/java/dunlincroft/coordination/Machine.java
+++ b/src/main/java/dunlincroft/coordination/Machine.java
@@ -79,8 +79,8 @@
   /** The block's move is asked for, and its outcome not known yet. */
   boolean moving;
 
-  /** Pages whose records may name this machine. */
-  final Set<JobRun.Page> named = new HashSet<>();
+  /** Jobs whose records may name this machine. */
+  final Set<JobRun> named = new HashSet<>();
 
   long doubtUntil;
   int failures;
--- a/src/main/java/dunlincroft/coordination/WorkerDesk.java
+++ b/src/main/java/dunlincroft/coordination/WorkerDesk.java
@@ -294,7 +294,7 @@
     if (job == null) {
       return world.index.get(piece.job()) != null;
     }
-    return piece.task() >= job.spec.pieces() || !job.page(piece.task()).clean();
+    return piece.task() >= job.spec.pieces() || !job.clean(piece.task());
   }
 
   /** Rewrites the block's key: commands still in flight under the older fence become void. */
--- a/src/main/java/dunlincroft/coordination/World.java
+++ b/src/main/java/dunlincroft/coordination/World.java
@@ -14,8 +14,8 @@
 import dunlincroft.protocol.JobSpec;
 import dunlincroft.protocol.MachineType;
 import dunlincroft.protocol.Malformed;
-import dunlincroft.protocol.PageRecord;
 import dunlincroft.protocol.Room;
+import dunlincroft.protocol.TaskState;
 import dunlincroft.transport.Env;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
@@ -195,28 +195,25 @@
     if (run != null || !holds(recorded.shard)) {
       return;
     }
+    if (!index.readable(id, recorded.shard)) {
+      LOG.error("job {} is not run: not all that is recorded of it can be read", id);
+      return;
+    }
     JobRun fresh =
         new JobRun(id, recorded.spec, recorded.shard, recorded.pageTasks, recorded.acceptedAt);
     fresh.cancelled = replica.get(Replica.CANCELS, id) != null;
-    for (Map.Entry<Integer, PageRecord> entry : recorded.pages()) {
-      JobRun.Page page = fresh.pageAt(entry.getKey());
+    fresh.load(recorded);
+    for (JobRun.Page page : fresh.knownPages()) {
       page.stamp = replica.stamp(Replica.PAGES, page.name());
-      entry.getValue().done().stream().forEach(task -> fresh.finish(page.first() + task));
-      for (PageRecord.Place place : entry.getValue().places()) {
-        Placement p =
-            new Placement(
-                fresh,
-                page.first() + place.task(),
-                machineOf(place.host(), recorded.shard),
-                place.attempt(),
-                now());
-        // An earlier holder may have sent it: only the worker or a release can clear it.
-        p.recorded = true;
-        p.sent = true;
-        fresh.place(p);
-        if (fresh.cancelled) {
-          fresh.halt(p);
-        }
+    }
+    for (TaskState.Place place : recorded.places()) {
+      Machine machine = machineOf(place.host(), recorded.shard);
+      Placement p = new Placement(fresh, place.task(), machine, place.attempt(), now());
+      // An earlier holder may have sent it: only the worker or a release can clear it.
+      p.sent = true;
+      fresh.placeRecorded(p);
+      if (fresh.cancelled) {
+        fresh.halt(p);
       }
     }
     jobs.put(id, fresh);
--- a/src/test/java/dunlincroft/protocol/CodecTest.java
+++ b/src/test/java/dunlincroft/protocol/CodecTest.java
@@ -65,21 +65,24 @@
       @ForAll long seed, @ForAll @IntRange(min = 1, max = 97) int tasks) throws Malformed {
     Random random = new Random(seed);
     BitSet done = new BitSet();
-    List<PageRecord.Place> places = new ArrayList<>();
+    List<TaskState.Place> places = new ArrayList<>();
     for (int task = 0; task < tasks; task++) {
       if (random.nextInt(3) == 0) {
         done.set(task);
       } else if (random.nextInt(3) > 0) {
         long attempt = (1L << 34) + random.nextInt(1 << 24);
         places.add(
-            new PageRecord.Place(
+            new TaskState.Place(
                 task, String.format("host-%06d", random.nextInt(1_000_000)), attempt));
       }
     }
-    PageRecord page = new PageRecord(done, places);
-    PageRecord back = PageRecord.parse(Cbor.parse(Cbor.bytes(page.toNode())));
+    PageRecord page =
+        new PageRecord(new TaskState(done, new BitSet(), places), random.nextInt(99_999));
+    PageRecord record = PageRecord.parse(Cbor.parse(Cbor.bytes(page.toNode())));
+    assertThat(record.upTo()).isEqualTo(page.upTo());
+    TaskState back = record.state();
     assertThat(back.done()).isEqualTo(done);
-    Set<PageRecord.Place> same = new HashSet<>(places);
+    Set<TaskState.Place> same = new HashSet<>(places);
     assertThat(new HashSet<>(back.places())).isEqualTo(same);
     assertThat(page.toNode().toString().length()).isLessThan(4096);
   }
--- a/src/test/java/dunlincroft/sim/Checks.java
+++ b/src/test/java/dunlincroft/sim/Checks.java
@@ -5,10 +5,12 @@
 import dunlincroft.protocol.Room;
 import dunlincroft.sim.SimWorker.Task;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 /** The rules of PROTOCOL, checked from outside: on the machines, and in what users are told. */
@@ -121,19 +123,75 @@
                             broke("two_blocks", host);
                           }
                         }));
+    recorded(jobs)
+        .forEach(
+            (piece, host) -> {
+              JsonNode shard = shards.get(host);
+              JsonNode job = jobs.get(piece.substring(0, piece.indexOf('/')));
+              if (shard != null && !shard.equals(job.path("shard"))) {
+                broke("wrong_shard", piece + " on " + host);
+              }
+            });
+  }
+
+  /** Hosts by task, as pages and the later entries of the log say. */
+  private Map<String, String> recorded(Map<String, JsonNode> jobs) {
+    Map<String, String> hosts = new HashMap<>();
+    Map<String, Long> upTo = new HashMap<>();
     cluster
         .state
         .under("d/pages/")
         .forEach(
             (name, page) -> {
-              JsonNode job = jobs.get(name.substring(0, name.lastIndexOf('/')));
-              for (JsonNode group : page.path("at")) {
-                JsonNode shard = shards.get(group.get(0).asText());
-                if (job != null && shard != null && !shard.equals(job.path("shard"))) {
-                  broke("wrong_shard", name + " on " + group.get(0));
-                }
+              String ref = name.substring(0, name.lastIndexOf('/'));
+              int number = Integer.parseInt(name.substring(name.lastIndexOf('/') + 1));
+              JsonNode job = jobs.get(ref);
+              if (job != null) {
+                upTo.put(name, page.path("upTo").asLong());
+                int first = number * job.path("pageTasks").asInt();
+                places(page, first, ref, hosts);
               }
             });
+    List<JsonNode> entries = new ArrayList<>();
+    cluster.state.under("d/logs/").values().forEach(slot -> slot.path("log").forEach(entries::add));
+    entries.sort(Comparator.comparingLong(entry -> entry.path("n").asLong()));
+    for (JsonNode entry : entries) {
+      String ref = entry.path("job").asText();
+      JsonNode job = jobs.get(ref);
+      if (job == null) {
+        continue;
+      }
+      int pageTasks = job.path("pageTasks").asInt();
+      Map<String, String> news = new HashMap<>();
+      ranges(entry.path("done"), ref, news);
+      ranges(entry.path("free"), ref, news);
+      places(entry, 0, ref, news);
+      news.forEach(
+          (piece, host) -> {
+            int task = Integer.parseInt(piece.substring(piece.indexOf('/') + 1));
+            if (entry.path("n").asLong() > upTo.getOrDefault(ref + "/" + task / pageTasks, 0L)) {
+              hosts.put(piece, host);
+            }
+          });
+    }
+    hosts.values().removeIf(Objects::isNull);
+    return hosts;
+  }
+
+  private static void places(JsonNode record, int first, String ref, Map<String, String> into) {
+    for (JsonNode group : record.path("at")) {
+      for (int i = 2; i < group.size(); i++) {
+        into.put(ref + "/" + (first + group.get(i).asInt()), group.get(0).asText());
+      }
+    }
+  }
+
+  private static void ranges(JsonNode ranges, String ref, Map<String, String> into) {
+    for (int i = 0; i + 1 < ranges.size(); i += 2) {
+      for (int task = ranges.get(i).asInt(); task < ranges.get(i + 1).asInt(); task++) {
+        into.put(ref + "/" + task, null);
+      }
+    }
   }
 
   private static boolean before(Map<String, Long> at, String ref, long sentAt) {
--- a/src/test/java/dunlincroft/sim/RulesTest.java
+++ b/src/test/java/dunlincroft/sim/RulesTest.java
@@ -6,16 +6,17 @@
 import dunlincroft.protocol.Cbor;
 import dunlincroft.protocol.JobSpec;
 import dunlincroft.protocol.Malformed;
+import dunlincroft.sim.SimCluster.Size;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Plays generated histories against the real coordination code and checks every rule. */
 class RulesTest {
-  private static final int JOBS = 40;
   private static final long FAULTS_UNTIL_MS = 240_000;
   private static final long END_MS = 600_000;
 
@@ -47,12 +48,17 @@
 
   private static SimCluster play(long seed, boolean faults, boolean guards, Policy policy)
       throws Malformed {
-    SimCluster cluster = new SimCluster(seed, policy);
+    return play(seed, faults, guards, policy, Size.SMALL);
+  }
+
+  private static SimCluster play(
+      long seed, boolean faults, boolean guards, Policy policy, Size size) throws Malformed {
+    SimCluster cluster = new SimCluster(seed, policy, size);
     Random random = new Random(seed * 31);
     cluster.net.loss = faults ? 0.01 : 0;
     cluster.state.ignoreGuards = !guards;
     cluster.state.keep = faults && seed % 2 == 0 ? 60 : 10_000;
-    for (int i = 0; i < JOBS; i++) {
+    for (int i = 0; i < size.jobs(); i++) {
       JobSpec spec = job(random, i);
       long cancelAfter =
           random.nextInt(6) == 0 || spec.daemon() ? 1000 + random.nextInt(200_000) : 0;
@@ -63,7 +69,7 @@
         cluster.clock.after(at, cluster::fault);
       }
     }
-    cluster.clock.runUntil(END_MS);
+    cluster.clock.runUntil(END_MS + 6000L * (size.jobs() - Size.SMALL.jobs()));
     return cluster;
   }
 
@@ -72,6 +78,11 @@
     return LongStream.range(first, first + Long.getLong("dunlincroft.days", 30));
   }
 
+  /** For days that take longer. */
+  private static LongStream fewSeeds() {
+    return seeds().filter(seed -> seed % 5 == 1 || seed % 5 == 2);
+  }
+
   @ParameterizedTest
   @MethodSource("seeds")
   void rulesHoldThroughOverlappingFaults(long seed) throws Malformed {
@@ -81,11 +92,11 @@
 
   private static void everyRuleHolds(SimCluster cluster) {
     assertThat(cluster.checks.broken).isEmpty();
-    assertThat(cluster.checks.starts).isGreaterThan(JOBS);
-    assertThat(cluster.checks.accepted).hasSize(JOBS);
+    assertThat(cluster.checks.starts).isGreaterThan(cluster.size.jobs());
+    assertThat(cluster.checks.accepted).hasSize(cluster.size.jobs());
     assertThat(cluster.checks.toldFinal)
         .as("every job ends once the faults are over")
-        .hasSize(JOBS);
+        .hasSize(cluster.size.jobs());
   }
 
   /** Three lease holders at a handful of machines: blocks, shares and shards change hands. */
@@ -100,11 +111,31 @@
         .anyMatch(share -> share.size() > 1);
   }
 
+  private static int pagesWritten;
+
+  @AfterAll
+  static void theLogWentRound() {
+    assertThat(pagesWritten).isPositive();
+  }
+
+  /**
+   * Values of 1 KiB and 3 changes a transaction: jobs take many entries, the log goes round, pages
+   * are written between its entries, and holders that take over read both.
+   */
+  @ParameterizedTest
+  @MethodSource("fewSeeds")
+  void rulesHoldWithFiveControllersAndSmallValues(long seed) throws Malformed {
+    Policy policy = seed % 2 == 0 ? Policy.PRESET : Policy.parse("holder_machines = 8;");
+    SimCluster cluster = play(seed, true, true, policy, Size.TIGHT);
+    everyRuleHolds(cluster);
+    pagesWritten += cluster.state.pagesWritten;
+  }
+
   @Test
   void quietDayEndsEveryJob() throws Malformed {
     SimCluster cluster = play(100, false, true, Policy.PRESET);
     assertThat(cluster.checks.broken).isEmpty();
-    assertThat(cluster.checks.toldFinal).hasSize(JOBS);
+    assertThat(cluster.checks.toldFinal).hasSize(Size.SMALL.jobs());
   }
 
   /**
@@ -113,9 +144,9 @@
    */
   @Test
   void aHolderCutOffLosesNoMachine() throws Malformed {
-    SimCluster cluster = new SimCluster(7, Policy.PRESET);
+    SimCluster cluster = new SimCluster(7, Policy.PRESET, Size.SMALL);
     Random random = new Random(7);
-    for (int i = 0; i < 5 * JOBS; i++) {
+    for (int i = 0; i < 200; i++) {
       JobSpec spec = job(random, i);
       cluster.clock.after(5000 + 20 * i, () -> cluster.user(spec, 0));
     }
--- a/src/test/java/dunlincroft/sim/SimCluster.java
+++ b/src/test/java/dunlincroft/sim/SimCluster.java
@@ -21,6 +21,14 @@
 
 /** Three real controllers in a simulated world with seeded faults. */
 final class SimCluster {
+  /** How large a deployment is, and how little the state service takes at a time. */
+  record Size(int nodes, int machines, int jobs, double valueKb, int txnOps, double writeRps) {
+    static final Size SMALL = new Size(3, 14, 40, 4, 8, 60);
+
+    /** Five controllers; the log goes round and its pages are written all the time. */
+    static final Size TIGHT = new Size(5, 60, 150, 1, 3, 60);
+  }
+
   static final String TYPE = "m16";
   static final int CPUS = 16;
   static final List<String> ZONES = List.of("a", "b", "c");
@@ -34,24 +42,27 @@
   final SimCloud cloud;
   final Settings settings;
   final Policy policy;
+  final Size size;
   final Checks checks;
   final long leaseMs;
   private final List<Node> nodes = new ArrayList<>();
   private final Map<String, JobSpec> uploads = new HashMap<>();
 
-  SimCluster(long seed, Policy policy) throws Malformed {
+  SimCluster(long seed, Policy policy, Size size) throws Malformed {
     this.policy = policy;
+    this.size = size;
     random = new Random(seed);
     net = new SimNet(clock, random);
     state = new SimState(clock);
-    settings = settings(0);
+    settings = Settings.parse(settingsJson(0, size));
     leaseMs = (long) (settings.leaseS() * 1000);
     checks = new Checks(this);
     cloud = new SimCloud(this);
     net.serve(STATE, state::handle);
     net.serve(CLOUD, cloud::handle);
-    for (int i = 0; i < 3; i++) {
-      nodes.add(new Node(i, settings(i)));
+    cloud.most = size.machines;
+    for (int i = 0; i < size.nodes; i++) {
+      nodes.add(new Node(i, Settings.parse(settingsJson(i, size))));
     }
     for (int i = 0; i < 5; i++) {
       cloud.rent(ZONES.get(i % 3), i == 4);
@@ -65,9 +76,9 @@
   }
 
   /** A settings file such as the platform hands over. */
-  static String settingsJson(int node) {
+  static String settingsJson(int node, Size size) {
     StringBuilder others = new StringBuilder();
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < size.nodes; i++) {
       if (i != node) {
         others
             .append(others.isEmpty() ? "" : ",")
@@ -86,18 +97,23 @@
                    {"name":"blue","cpus":0.0,"cpus_max":0.0,"gpus":0.0,"gpus_max":0.0}],
           "objectives":[{"kind":"finished","class":"copy","within_s":100.0,"share":0.85}],
           "workers":{"report_s":2.0,"lease_s":20.0,"cancel_s":45.0},
-          "state":{"rps":200.0,"write_rps":60.0,"value_kb":4.0,"txn_ops":8},
+          "state":{"rps":200.0,"write_rps":%s,"value_kb":%s,"txn_ops":%d},
           "cloud":{"rps":10.0,"list_lag_s":5.0}}}
         """
-        .formatted(node, node + 1, node + 1, others, CLOUD, STATE);
-  }
-
-  private static Settings settings(int node) throws Malformed {
-    return Settings.parse(settingsJson(node));
+        .formatted(
+            node,
+            node + 1,
+            node + 1,
+            others,
+            CLOUD,
+            STATE,
+            size.writeRps,
+            size.valueKb,
+            size.txnOps);
   }
 
   int nodeCount() {
-    return 3;
+    return size.nodes;
   }
 
   String nodeAddress(int node) {
@@ -234,7 +250,7 @@
     long sentAt = clock.now();
     net.call(
         "user",
-        new Env.Call(nodeAddress(random.nextInt(3)), method, path, body, 5000),
+        new Env.Call(nodeAddress(random.nextInt(size.nodes)), method, path, body, 5000),
         reply -> {
           try {
             JsonNode map = reply.body().length == 0 ? Cbor.map() : Cbor.parse(reply.body());
@@ -303,7 +319,7 @@
   void fault() {
     List<SimWorker> workers = List.copyOf(cloud.machines.values());
     SimWorker worker = workers.isEmpty() ? null : workers.get(random.nextInt(workers.size()));
-    Node node = nodes.get(random.nextInt(3));
+    Node node = nodes.get(random.nextInt(size.nodes));
     String address = nodeAddress(node.index);
     long ms = 3000 + random.nextInt(40_000);
     switch (random.nextInt(10)) {
@@ -314,7 +330,7 @@
       case 4 -> workers.forEach(each -> net.cut(address, each.address, ms));
       case 5 -> {
         if (worker != null) {
-          for (int i = 0; i < 3; i++) {
+          for (int i = 0; i < size.nodes; i++) {
             net.cut(nodeAddress(i), worker.address, ms);
           }
         }
--- a/src/test/java/dunlincroft/sim/SimState.java
+++ b/src/test/java/dunlincroft/sim/SimState.java
@@ -28,6 +28,9 @@
   private long nextHold = 1;
   boolean down;
 
+  /** Puts of pages of jobs so far. */
+  int pagesWritten;
+
   /** For the test that shows that the checks can fail: transactions apply whatever they guard. */
   boolean ignoreGuards;
 
@@ -93,6 +96,9 @@
       }
     } else {
       items.put(key, new Item(data.deepCopy(), epoch, tenancy));
+      if (key.startsWith("d/pages/")) {
+        pagesWritten++;
+      }
     }
     changes.add(new Change(epoch, key, data));
     while (changes.size() > keep) {
