A job that came after its log entries is known whole; submissions refused in time

A restarted node lists keys by name: jobs first, the log later. A job accepted in between came by the feed after its entries, whose number the node had passed; it took its tasks for waiting and, made holder, ran them again. Now a job that comes by the feed is read with the log. Any node may use a third of a second's budget in a burst. - Who holds machines stands for the lead first: it knows which of them leave or are silent. - A machine that boots 1.5 times startupS plus 15 s is not counted on any more.

--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -88,6 +88,11 @@
   /** Fraction of a second's changes that progress of jobs leaves to starts, ends, acceptance. */
   public static final double WRITES_KEPT = 0.1;
 
+  /**
+   * Any one controller may save up a second's worth of all, divided by this: users come in bursts.
+   */
+  public static final double BURST_PART = 3;
+
   /** Milliseconds. Pause after the state service said that we together ask too much. */
   public static final long OVER_RATE_MS = 60;
 
@@ -129,6 +134,9 @@
   /** Milliseconds. Work without any progress for so long, room and limit allowing, is helped. */
   public static final long STARVED_MS = 30_000;
 
+  /** Milliseconds. Controllers without machines wait so long before they stand for the lead. */
+  public static final long ELECTION_DELAY_MS = 1500;
+
   /** Milliseconds. A peer whose link broke and stayed silent this long may be succeeded. */
   public static final long PEER_DOWN_MS = 900;
 
@@ -244,6 +252,9 @@
   /** Factor on startupS after which a booting machine is given up, plus the next constant. */
   public static final double BOOT_FACTOR = 2.5;
 
+  /** Factor on startupS, with the next constant: a machine that boots longer is not counted on. */
+  public static final double BOOT_USUAL = 1.5;
+
   /** Milliseconds. See BOOT_FACTOR. */
   public static final long BOOT_EXTRA_MS = 15_000;
 
@@ -303,6 +314,12 @@
 
   // ---- users ----
 
+  /** Milliseconds. A submission that would wait longer for budget is refused at once. */
+  public static final long ANSWER_MS = 400;
+
+  /** Seconds. What a refused user is told to wait at the most: longer is not obeyed. */
+  public static final int RETRY_AFTER_MOST_S = 30;
+
   /** Seconds. What a refused user is told to wait at the least. */
   public static final int RETRY_AFTER_S = 1;
 
--- a/src/main/java/dunlincroft/bookkeeping/JobIndex.java
+++ b/src/main/java/dunlincroft/bookkeeping/JobIndex.java
@@ -199,7 +199,10 @@
             jobs.remove(name);
             unreadable.remove(name);
           } else if (!jobs.containsKey(name)) {
-            load(name);
+            // A first reading may have shown log entries that are younger than its list of jobs:
+            // they were of no known job then, and would be lost to whoever takes the shard over.
+            Job job = load(name);
+            later(job).forEach(job::apply);
           }
         }
         case Replica.PAGES -> {
@@ -261,8 +264,8 @@
     }
   }
 
-  /** Takes in a job and its pages; its log entries come after it. */
-  private void load(String id) throws Malformed {
+  /** Takes in a job and its pages. */
+  private Job load(String id) throws Malformed {
     JsonNode data = replica.get(Replica.JOBS, id).data();
     Job job =
         new Job(
@@ -277,6 +280,7 @@
         page(job, page);
       }
     }
+    return job;
   }
 
   private void page(Job job, int number) {
--- a/src/main/java/dunlincroft/bookkeeping/StateStore.java
+++ b/src/main/java/dunlincroft/bookkeeping/StateStore.java
@@ -80,8 +80,8 @@
     this.rps = rps * Constants.BUDGET_PART;
     this.writeRps = writeRps * Constants.BUDGET_PART;
     this.replica = replica;
-    this.requests = new TokenBucket(0, env.nowMillis());
-    this.writes = new TokenBucket(0, env.nowMillis());
+    this.requests = new TokenBucket(0, this.rps / Constants.BURST_PART, env.nowMillis());
+    this.writes = new TokenBucket(0, this.writeRps / Constants.BURST_PART, env.nowMillis());
     share(new Wish(0, 0), List.of());
     for (int i = 0; i < Urgency.values().length; i++) {
       queues.add(new ArrayDeque<>());
@@ -179,7 +179,15 @@
       int puts,
       long timeoutMs,
       Consumer<Answer> then) {
-    long refuseAt = env.nowMillis() + Constants.BUDGET_WAIT_MS;
+    long now = env.nowMillis();
+    long patience = urgency == Urgency.ACCEPT ? Constants.ANSWER_MS : Constants.BUDGET_WAIT_MS;
+    if (urgency == Urgency.ACCEPT && waitS(puts) * 1000 > patience) {
+      // A user who cannot be served in time is told so now, not when the time is over.
+      refused++;
+      env.after(0, () -> then.accept(NOT_SENT));
+      return;
+    }
+    long refuseAt = now + patience;
     queues
         .get(urgency.ordinal())
         .add(new Pending(urgency, method, path, body, puts, timeoutMs, refuseAt, then));
@@ -189,6 +197,23 @@
     pump.in(0);
   }
 
+  /** Seconds that so many changes would wait behind what waits already. */
+  private double waitS(int changes) {
+    double ahead = changes;
+    for (ArrayDeque<Pending> queue : queues) {
+      for (Pending pending : queue) {
+        ahead += pending.writes;
+      }
+    }
+    return writes.secondsUntil(ahead, env.nowMillis());
+  }
+
+  /** Whole seconds after which a user who is refused now may expect to be served. */
+  public int retryAfterS() {
+    int seconds = (int) Math.ceil(waitS(1));
+    return Math.max(Constants.RETRY_AFTER_S, Math.min(Constants.RETRY_AFTER_MOST_S, seconds));
+  }
+
   private void pump() {
     long now = env.nowMillis();
     for (ArrayDeque<Pending> queue : queues) {
--- a/src/main/java/dunlincroft/bookkeeping/TokenBucket.java
+++ b/src/main/java/dunlincroft/bookkeeping/TokenBucket.java
@@ -1,12 +1,14 @@
 package dunlincroft.bookkeeping;
 
-/** Our part of a published rate; a second's worth may be saved up. */
+/** Our part of a published rate; a second's worth, or a least burst, may be saved up. */
 public final class TokenBucket {
+  private final double burst;
   private double perSecond;
   private double tokens;
   private long lastMs;
 
-  public TokenBucket(double perSecond, long nowMs) {
+  public TokenBucket(double perSecond, double burst, long nowMs) {
+    this.burst = Math.max(1, burst);
     this.perSecond = perSecond;
     this.tokens = perSecond / 2;
     this.lastMs = nowMs;
@@ -17,6 +19,12 @@
     perSecond = newPerSecond;
   }
 
+  /** Seconds until so many tokens are there. */
+  public double secondsUntil(double n, long nowMs) {
+    refill(nowMs);
+    return tokens >= n ? 0 : (n - tokens) / perSecond;
+  }
+
   /** Tokens that are there beyond a part kept for what is more urgent. */
   public double beyond(double part, long nowMs) {
     refill(nowMs);
@@ -31,7 +39,7 @@
   }
 
   private double size() {
-    return Math.max(1, perSecond);
+    return Math.max(burst, perSecond);
   }
 
   private void refill(long nowMs) {
--- a/src/main/java/dunlincroft/coordination/Cloud.java
+++ b/src/main/java/dunlincroft/coordination/Cloud.java
@@ -29,7 +29,7 @@
     this.env = env;
     this.pump = new Soon(env, this::pump);
     this.address = address;
-    this.bucket = new TokenBucket(rps, env.nowMillis());
+    this.bucket = new TokenBucket(rps, 1, env.nowMillis());
   }
 
   /** Sets our part of the published rate. */
--- a/src/main/java/dunlincroft/coordination/JobDesk.java
+++ b/src/main/java/dunlincroft/coordination/JobDesk.java
@@ -52,6 +52,11 @@
     return world.feed.synced() && world.feed.silentMs() < Constants.STALE_MS;
   }
 
+  /** Whole seconds after which a user who is refused now should come back. */
+  public int retryAfterS() {
+    return world.store.retryAfterS();
+  }
+
   // ---- submit ----
 
   public void submit(JobSpec spec, Consumer<Outcome> then) {
--- a/src/main/java/dunlincroft/coordination/Membership.java
+++ b/src/main/java/dunlincroft/coordination/Membership.java
@@ -46,6 +46,7 @@
   private long named;
   private boolean announcing;
   private boolean electing;
+  private long leaderSeen;
   private boolean taking;
   private long nextTake;
   private final Map<String, Long> takeDueAt = new HashMap<>();
@@ -182,7 +183,10 @@
     }
     announce();
     Item leader = world.replica.get(Replica.LEADER, ONE);
-    if (leader == null && !electing) {
+    if (leader != null) {
+      leaderSeen = world.now();
+    }
+    if (leader == null && !electing && world.now() - leaderSeen >= electionDelay()) {
       electing = true;
       world.store.commit(
           Urgency.HANDS,
@@ -202,6 +206,15 @@
     }
   }
 
+  /**
+   * Who holds machines had better lead: it alone knows which of them are silent, sick or leaving,
+   * and whoever rents without that knowledge rents too few.
+   */
+  private long electionDelay() {
+    boolean holder = leaseHolders().isEmpty() || leaseHolders().stream().anyMatch(world::holds);
+    return holder ? 0 : Constants.ELECTION_DELAY_MS;
+  }
+
   private void announce() {
     Item item = world.replica.get(Replica.CONTROLLERS, settings.node());
     boolean current = item != null && item.data().path("tenancy").asLong() == tenancy;
--- a/src/main/java/dunlincroft/coordination/Supply.java
+++ b/src/main/java/dunlincroft/coordination/Supply.java
@@ -243,9 +243,7 @@
       for (String host : block.record().hosts().keySet()) {
         blocks++;
         Machine machine = world.machines.get(host);
-        if (machine == null
-            || ((machine.draining == null || machine.draining.equals(SURPLUS))
-                && (!machine.reported || world.now() - machine.lastHeard < suspectMs))) {
+        if (machine == null || counts(machine)) {
           cheap += blockClass.lendable() ? 1 : 0;
           ordinary += blockClass.lendable() ? 0 : 1;
         }
@@ -254,6 +252,19 @@
     return new Have(ordinary, cheap, blocks);
   }
 
+  /** Whether a machine serves, or will soon: one that is late to boot may never come. */
+  private boolean counts(Machine machine) {
+    if (machine.draining != null && !machine.draining.equals(SURPLUS)) {
+      return false;
+    }
+    if (machine.reported) {
+      return world.now() - machine.lastHeard < suspectMs;
+    }
+    double startupS = machine.type == null ? 0 : machine.type.startupS();
+    long age = world.env.wallMillis() - machine.hiredAtWall;
+    return age < startupS * 1000 * Constants.BOOT_USUAL + Constants.BOOT_EXTRA_MS;
+  }
+
   // ---- hiring ----
 
   private void hireTick() {
--- a/src/main/java/dunlincroft/front/HttpFront.java
+++ b/src/main/java/dunlincroft/front/HttpFront.java
@@ -65,10 +65,7 @@
   }
 
   private static void error(Responder out, int status, String why) {
-    out.send(
-        status,
-        Cbor.bytes(Cbor.map().put("error", why)),
-        status == 503 ? Constants.RETRY_AFTER_S : 0);
+    out.send(status, Cbor.bytes(Cbor.map().put("error", why)), 0);
   }
 
   private static ObjectNode parse(byte[] body) throws Malformed {
@@ -107,7 +104,7 @@
     }
   }
 
-  private static void answer(JobDesk.Outcome outcome, Responder out) {
+  private void answer(JobDesk.Outcome outcome, Responder out) {
     switch (outcome.verdict()) {
       case CREATED, OK -> {
         ObjectNode map = Cbor.map().put("ref", outcome.ref()).put("status", outcome.status());
@@ -116,7 +113,7 @@
       }
       case NOT_FOUND -> error(out, 404, "no such job");
       case IMPOSSIBLE -> error(out, 422, "can never run");
-      default -> error(out, 503, "not now");
+      default -> out.send(503, Cbor.bytes(Cbor.map().put("error", "not now")), jobs.retryAfterS());
     }
   }
 }
--- /dev/null
+++ b/src/test/java/dunlincroft/bookkeeping/JobIndexTest.java
@@ -0,0 +1,207 @@
+package dunlincroft.bookkeeping;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dunlincroft.protocol.Cbor;
+import dunlincroft.protocol.JobSpec;
+import dunlincroft.protocol.LogRecord;
+import dunlincroft.protocol.Malformed;
+import dunlincroft.protocol.PageRecord;
+import dunlincroft.protocol.TaskState;
+import dunlincroft.protocol.Wire;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class JobIndexTest {
+  private static final int PAGE = 4;
+  private static final int TASKS = 10;
+
+  private record Change(String key, JsonNode data, long stamp) {}
+
+  /** What a holder writes: jobs, news in a slot or the next one, now and then a page. */
+  private static final class Writer {
+    private final Random random;
+    private final List<Change> history = new ArrayList<>();
+    private final Map<String, Map<Integer, String>> truth = new TreeMap<>();
+    private ArrayNode slot = Cbor.map().putArray("log");
+    private int slots;
+    private long number;
+
+    Writer(Random random) {
+      this.random = random;
+    }
+
+    private void put(String kind, String name, JsonNode data) {
+      history.add(new Change(Wire.key(kind, name), data, history.size() + 1));
+    }
+
+    void step() throws Malformed {
+      int what = random.nextInt(8);
+      if (truth.isEmpty() || what == 0) {
+        String ref = "run-" + random.nextInt(1000);
+        if (truth.putIfAbsent(ref, new TreeMap<>()) == null) {
+          put(Replica.JOBS, ref, JobIndex.record(spec(ref), "s", PAGE, 1));
+        }
+      } else if (what == 1) {
+        save(any());
+      } else {
+        news(any());
+      }
+    }
+
+    private String any() {
+      List<String> refs = List.copyOf(truth.keySet());
+      return refs.get(random.nextInt(refs.size()));
+    }
+
+    private void news(String ref) {
+      BitSet done = new BitSet();
+      BitSet free = new BitSet();
+      List<TaskState.Place> places = new ArrayList<>();
+      for (int i = random.nextInt(3); i >= 0; i--) {
+        int task = random.nextInt(TASKS);
+        boolean named =
+            done.get(task) || free.get(task) || places.stream().anyMatch(p -> p.task() == task);
+        if (named) {
+          continue;
+        }
+        switch (random.nextInt(3)) {
+          case 0 -> done.set(task);
+          case 1 -> free.set(task);
+          default -> places.add(new TaskState.Place(task, "host-" + random.nextInt(9), number));
+        }
+      }
+      number++;
+      if (slot.size() > 3) {
+        slot = Cbor.map().putArray("log");
+        slots++;
+      }
+      slot.add(new LogRecord.Entry(number, ref, new TaskState(done, free, places)).toNode());
+      ObjectNode data = Cbor.map();
+      data.set("log", slot.deepCopy());
+      put(Replica.LOGS, JobIndex.slotName("s", slots), data);
+      Map<Integer, String> tasks = truth.get(ref);
+      done.stream().forEach(task -> tasks.put(task, "done"));
+      free.stream().forEach(tasks::remove);
+      places.forEach(p -> tasks.put(p.task(), p.host() + "#" + p.attempt()));
+    }
+
+    private void save(String ref) {
+      int page = random.nextInt((TASKS + PAGE - 1) / PAGE);
+      BitSet done = new BitSet();
+      List<TaskState.Place> places = new ArrayList<>();
+      truth
+          .get(ref)
+          .forEach(
+              (task, state) -> {
+                int at = task - page * PAGE;
+                if (at >= 0 && at < PAGE && state.equals("done")) {
+                  done.set(at);
+                } else if (at >= 0 && at < PAGE) {
+                  String[] parts = state.split("#");
+                  places.add(new TaskState.Place(at, parts[0], Long.parseLong(parts[1])));
+                }
+              });
+      PageRecord record = new PageRecord(new TaskState(done, new BitSet(), places), number);
+      put(Replica.PAGES, JobIndex.pageName(ref, page), record.toNode());
+    }
+  }
+
+  private static JobSpec spec(String ref) throws Malformed {
+    return JobSpec.parse(
+        Cbor.map()
+            .put("ref", ref)
+            .put("jobclass", "copy")
+            .put("owner", "red")
+            .put("shape", "batch")
+            .put("rank", "idle")
+            .put("pieces", TASKS)
+            .put("cpus", 1.0)
+            .put("gpus", 0)
+            .put("ramGb", 1.0)
+            .put("bundle", "img")
+            .put("imageGb", 1.0)
+            .put("samePlace", false)
+            .put("spread", false)
+            .put("lendable", true)
+            .put("expectS", 1.0)
+            .put("snapshotS", 0.0)
+            .put("flushS", 0.0));
+  }
+
+  private static Map<String, Map<Integer, String>> read(JobIndex index) {
+    Map<String, Map<Integer, String>> state = new TreeMap<>();
+    index
+        .all()
+        .forEach(
+            (ref, job) -> {
+              Map<Integer, String> tasks = new TreeMap<>();
+              job.doneTasks().stream().forEach(task -> tasks.put(task, "done"));
+              job.places().forEach(p -> tasks.put(p.task(), p.host() + "#" + p.attempt()));
+              assertThat(job.done() + job.placed()).isEqualTo(tasks.size());
+              state.put(ref, tasks);
+            });
+    return state;
+  }
+
+  /**
+   * A first reading shows each key as of another moment, and the feed begins at the first of them.
+   * A job accepted while a node read once came to it after entries of its log: the node took that
+   * job's tasks for waiting, and ran them twice when it took the shard over.
+   */
+  @Property(seed = "23", tries = 300)
+  void aReadingAcrossChangesEndsInWhatWasWritten(@ForAll long seed) throws Malformed {
+    Random random = new Random(seed);
+    Writer writer = new Writer(random);
+    for (int i = 0; i < 80; i++) {
+      writer.step();
+    }
+    Replica replica = new Replica();
+    JobIndex index = new JobIndex(replica);
+    replica.listener(index::changed);
+    int from = random.nextInt(writer.history.size());
+    int moment = from;
+    Map<String, Integer> moments = new HashMap<>();
+    for (String kind : List.of(Replica.JOBS, Replica.LOGS, Replica.PAGES)) {
+      moments.put(kind, moment);
+      moment = Math.min(writer.history.size(), moment + random.nextInt(20));
+    }
+    moments.forEach(
+        (kind, until) ->
+            writer.history.subList(0, until).stream()
+                .filter(change -> change.key.startsWith(Wire.key(kind, "")))
+                .forEach(change -> replica.put(change.key, change.data, change.stamp)));
+    index.rebuild();
+    for (Change change : writer.history.subList(from, writer.history.size())) {
+      replica.put(change.key, change.data, change.stamp);
+    }
+    assertThat(read(index)).isEqualTo(writer.truth);
+    assertThat(index.lastNumber("s")).isEqualTo(writer.number);
+  }
+
+  @Test
+  void whatCannotBeReadIsNotGuessed() throws Malformed {
+    Replica replica = new Replica();
+    JobIndex index = new JobIndex(replica);
+    replica.listener(index::changed);
+    replica.put("d/jobs/run-1", JobIndex.record(spec("run-1"), "s", PAGE, 1), 1);
+    replica.put("d/jobs/run-2", JobIndex.record(spec("run-2"), "t", PAGE, 1), 2);
+    assertThat(index.readable("run-1", "s")).isTrue();
+    replica.put("d/logs/s/0", Cbor.map().put("log", "later"), 3);
+    assertThat(index.readable("run-1", "s")).isFalse();
+    assertThat(index.readable("run-2", "t")).isTrue();
+    replica.put("d/pages/run-2/0", Cbor.map().put("done", 7), 4);
+    assertThat(index.readable("run-2", "t")).isFalse();
+  }
+}
