Log entries older than some already read go below them; a new leader reads before it adopts

A first reading lists slots of the log at different moments: one that was filled later may be shown fuller than one filled before it. What the feed then brought of the older slot had numbers that the node had passed, and was dropped. Entries are now told new by their slot, and out of order a job is read again whole. A new leader adopts nothing before all that the one before it wrote was read: a machine could have come into two blocks. A log of an earlier holding is never used for a later one.

--- a/src/main/java/dunlincroft/bookkeeping/JobIndex.java
+++ b/src/main/java/dunlincroft/bookkeeping/JobIndex.java
@@ -140,9 +140,11 @@
   private final Replica replica;
   private final Map<String, Job> jobs = new Object2ObjectLinkedOpenHashMap<>();
 
-  /** The number of the last entry taken in, by shard. */
+  /** The number of the last entry taken in, by shard; and by slot. */
   private final Object2LongOpenHashMap<String> applied = new Object2LongOpenHashMap<>();
 
+  private final Object2LongOpenHashMap<String> seen = new Object2LongOpenHashMap<>();
+
   /** Names of jobs and shards of which a record cannot be read: nobody may guess what it says. */
   private final Set<String> unreadable = new HashSet<>();
 
@@ -215,7 +217,7 @@
         case Replica.LOGS -> {
           Item item = replica.get(kind, name);
           if (item != null) {
-            news(owner(name), item.data());
+            news(name, item.data());
           }
         }
         default -> {}
@@ -234,6 +236,7 @@
   public void rebuild() {
     jobs.clear();
     applied.clear();
+    seen.clear();
     unreadable.clear();
     for (String id : replica.kind(Replica.JOBS).keySet()) {
       try {
@@ -251,6 +254,7 @@
                 LogRecord slot = LogRecord.parse(item.data());
                 entries.addAll(slot.entries());
                 applied.mergeLong(owner(name), slot.last(), Math::max);
+                seen.put(name, slot.last());
               } catch (Malformed e) {
                 unreadable(Replica.LOGS, name, e);
               }
@@ -283,6 +287,14 @@
     return job;
   }
 
+  /** All that is recorded of a job, whatever came in which order. */
+  private void reload(Job job) throws Malformed {
+    for (int page : Set.copyOf(job.pages.keySet())) {
+      page(job, page);
+    }
+    later(job).forEach(job::apply);
+  }
+
   private void page(Job job, int number) {
     String name = pageName(job.spec.ref(), number);
     Item item = replica.get(Replica.PAGES, name);
@@ -293,21 +305,28 @@
     }
   }
 
-  /** Entries of a slot that were not taken in yet. */
-  private void news(String shard, JsonNode slot) throws Malformed {
-    long last = applied.getLong(shard);
+  /**
+   * Entries of a slot that were not taken in yet. After a first reading they may be older than some
+   * of another slot: the reading showed that one as of a later moment. They then go below those.
+   */
+  private void news(String name, JsonNode slot) throws Malformed {
+    String shard = owner(name);
     JsonNode list = Fields.list(slot, "log");
     int from = list.size();
-    while (from > 0 && Fields.count(list.get(from - 1), "n") > last) {
+    while (from > 0 && Fields.count(list.get(from - 1), "n") > seen.getLong(name)) {
       from--;
     }
+    long last = applied.getLong(shard);
     for (; from < list.size(); from++) {
       LogRecord.Entry entry = LogRecord.Entry.parse(list.get(from));
       Job job = jobs.get(entry.job());
-      if (job != null) {
+      if (job != null && entry.number() > last) {
         job.apply(entry);
+      } else if (job != null) {
+        reload(job);
       }
       applied.put(shard, Math.max(entry.number(), applied.getLong(shard)));
+      seen.put(name, Math.max(entry.number(), seen.getLong(name)));
     }
   }
 
--- a/src/main/java/dunlincroft/coordination/Adoption.java
+++ b/src/main/java/dunlincroft/coordination/Adoption.java
@@ -100,10 +100,12 @@
     gone.values().removeIf(until -> world.now() > until);
     long led = world.replica.stamp(Replica.LEADER, Membership.ONE);
     if (led != ledSince) {
-      // Another led in between and may have adopted the same machines: what we offered is void.
-      ledSince = led;
+      // Another led in between and may have adopted the same machines: what we offered is void,
+      // and nothing is offered before all that it wrote was read.
       offered.clear();
       newcomers.clear();
+      world.feed.barrier(ok -> ledSince = ok ? led : ledSince);
+      return;
     }
     offered.keySet().removeIf(name -> world.blocks.get(name) != null);
     newcomers.keySet().removeIf(host -> world.blocks.of(host) != null);
--- a/src/main/java/dunlincroft/coordination/Ledger.java
+++ b/src/main/java/dunlincroft/coordination/Ledger.java
@@ -88,12 +88,17 @@
     int backlog = 0;
     for (String shard : List.copyOf(world.held.keySet())) {
       ShardLog log = logs.computeIfAbsent(shard, s -> new ShardLog(world, s));
+      if (log.heldSince != world.held.getLong(shard)) {
+        log = new ShardLog(world, shard);
+        logs.put(shard, log);
+      }
+      ShardLog due = log;
       List<JobRun> news = waiting(shard);
       if (log.busy) {
         continue;
       }
       boolean prod = news.stream().anyMatch(job -> job.urgent && prod(job));
-      if (prod || (news.stream().anyMatch(job -> now >= dueAt(job, log)))) {
+      if (prod || news.stream().anyMatch(job -> now >= dueAt(job, due))) {
         backlog++;
         if (prod || world.store.writesFree() > 0) {
           write(log, news, now);
--- a/src/test/java/dunlincroft/bookkeeping/JobIndexTest.java
+++ b/src/test/java/dunlincroft/bookkeeping/JobIndexTest.java
@@ -14,11 +14,11 @@
 import dunlincroft.protocol.Wire;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -35,7 +35,7 @@
     private final List<Change> history = new ArrayList<>();
     private final Map<String, Map<Integer, String>> truth = new TreeMap<>();
     private ArrayNode slot = Cbor.map().putArray("log");
-    private int slots;
+    private int slots = 2;
     private long number;
 
     Writer(Random random) {
@@ -85,7 +85,7 @@
       number++;
       if (slot.size() > 3) {
         slot = Cbor.map().putArray("log");
-        slots++;
+        slots = (slots + 37) % 101; // By name a later slot may stand before an earlier one.
       }
       slot.add(new LogRecord.Entry(number, ref, new TaskState(done, free, places)).toNode());
       ObjectNode data = Cbor.map();
@@ -172,16 +172,17 @@
     replica.listener(index::changed);
     int from = random.nextInt(writer.history.size());
     int moment = from;
-    Map<String, Integer> moments = new HashMap<>();
-    for (String kind : List.of(Replica.JOBS, Replica.LOGS, Replica.PAGES)) {
-      moments.put(kind, moment);
-      moment = Math.min(writer.history.size(), moment + random.nextInt(20));
+    TreeSet<String> keys = new TreeSet<>();
+    writer.history.forEach(change -> keys.add(change.key));
+    for (String key : keys) {
+      writer.history.subList(0, moment).stream()
+          .filter(change -> change.key.equals(key))
+          .reduce((older, newer) -> newer)
+          .ifPresent(change -> replica.put(change.key, change.data, change.stamp));
+      if (random.nextInt(8) == 0) {
+        moment = Math.min(writer.history.size(), moment + random.nextInt(12));
+      }
     }
-    moments.forEach(
-        (kind, until) ->
-            writer.history.subList(0, until).stream()
-                .filter(change -> change.key.startsWith(Wire.key(kind, "")))
-                .forEach(change -> replica.put(change.key, change.data, change.stamp)));
     index.rebuild();
     for (Change change : writer.history.subList(from, writer.history.size())) {
       replica.put(change.key, change.data, change.stamp);
