--- a/src/test/java/dunlincroft/sim/SimState.java
+++ b/src/test/java/dunlincroft/sim/SimState.java
@@ -18,6 +18,9 @@
 
   private record Watch(long since, String under, SimNet.Answer out, boolean[] answered) {}
 
+  /** Items of a listing: few, so that a reading goes on while keys change. */
+  private static final int LISTED = 9;
+
   private final VirtualClock clock;
   private final TreeMap<String, Item> items = new TreeMap<>();
   private final List<Change> changes = new ArrayList<>();
@@ -175,7 +178,7 @@
       if (!entry.getKey().startsWith(query.get("under"))) {
         break;
       }
-      if (found.size() == Integer.parseInt(query.get("most"))) {
+      if (found.size() == Math.min(LISTED, Integer.parseInt(query.get("most")))) {
         more = true;
         break;
       }
