--- /dev/null
+++ b/src/test/java/dunlincroft/bookkeeping/StateStoreTest.java
@@ -0,0 +1,104 @@
+package dunlincroft.bookkeeping;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dunlincroft.Constants;
+import dunlincroft.bookkeeping.StateStore.Urgency;
+import dunlincroft.protocol.Cbor;
+import dunlincroft.transport.Env;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+class StateStoreTest {
+  private static final double WRITE_RPS = 30;
+
+  /** Runs what is due at once; calls get the answer that the test sets, or none. */
+  private static final class Desk implements Env {
+    private final List<Runnable> due = new ArrayList<>();
+    private long now = 10_000;
+    private int status;
+    private int calls;
+
+    @Override
+    public long nowMillis() {
+      return now;
+    }
+
+    @Override
+    public long wallMillis() {
+      return now;
+    }
+
+    @Override
+    public UniformRandomProvider random() {
+      return RandomSource.XO_RO_SHI_RO_128_PP.create(1);
+    }
+
+    @Override
+    public void after(long delayMs, Runnable then) {
+      if (delayMs == 0) {
+        due.add(then);
+      }
+    }
+
+    @Override
+    public void call(Call call, Consumer<Reply> then) {
+      calls++;
+      if (status != 0) {
+        then.accept(new Reply(status, new byte[0]));
+      }
+    }
+
+    void run() {
+      while (!due.isEmpty()) {
+        due.remove(0).run();
+      }
+    }
+  }
+
+  private final Desk desk = new Desk();
+  private final StateStore store =
+      new StateStore(desk, "10.0.0.1:1", 1000, WRITE_RPS, new Replica());
+  private int refused;
+
+  private void accept(int number) {
+    for (int i = 0; i < number; i++) {
+      store.commit(
+          Urgency.ACCEPT,
+          new Txn().put("d/jobs/run-" + i, Cbor.map()),
+          result -> refused += result.outcome() == Txn.Outcome.REFUSED ? 1 : 0);
+    }
+    desk.run();
+  }
+
+  /** Users are told at once what will not be served in time, and when to come back. */
+  @Test
+  void submissionsThatWouldWaitAreRefusedAtOnce() {
+    desk.now += 1000;
+    accept(100);
+    double rate = WRITE_RPS * Constants.BUDGET_PART;
+    int served = (int) (rate + rate * Constants.ANSWER_MS / 1000);
+    assertThat(desk.calls).isBetween((int) rate - 1, (int) rate + 1);
+    assertThat(refused).isBetween(100 - served - 2, 100 - served + 2);
+    assertThat(store.retryAfterS()).isEqualTo(1);
+    for (int i = 0; i < 4 * WRITE_RPS; i++) {
+      store.commit(Urgency.HANDS, new Txn().put("d/k/" + i, Cbor.map()), result -> {});
+    }
+    assertThat(store.retryAfterS()).isBetween(4, 6);
+  }
+
+  /** The service's 429 carries nothing out: the call is asked again, not given up. */
+  @Test
+  void whatIsOverTheRateIsAskedAgain() {
+    desk.status = 429;
+    desk.now += 1000;
+    accept(1);
+    assertThat(desk.calls).isEqualTo(1);
+    assertThat(refused).isZero();
+    assertThat(store.waiting()).isEqualTo(1);
+  }
+}
--- a/src/test/java/dunlincroft/protocol/CodecTest.java
+++ b/src/test/java/dunlincroft/protocol/CodecTest.java
@@ -9,6 +9,7 @@
 import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import net.jqwik.api.ForAll;
@@ -87,6 +88,22 @@
     assertThat(page.toNode().toString().length()).isLessThan(4096);
   }
 
+  @Test
+  void blocksAreReadAsThisVersionAndTheOneBeforeWroteThem() throws Malformed {
+    BlockClass spot = new BlockClass("g8", "a", true);
+    BlockRecord block =
+        new BlockRecord("croft-1", spot, Map.of("host-000001", 5L, "host-000002", 6L));
+    assertThat(BlockRecord.parse("b-1", Cbor.parse(Cbor.bytes(block.toNode())))).isEqualTo(block);
+    assertThat(block.without(List.of("host-000001")).hosts()).containsOnlyKeys("host-000002");
+    assertThat(block.part(List.of("host-000001"), "croft-2"))
+        .isEqualTo(new BlockRecord("croft-2", spot, Map.of("host-000001", 5L)));
+    ObjectNode before =
+        Cbor.map().put("flavour", "g8").put("hall", "a").put("lendable", true).put("at", 7);
+    before.put("endpoint", "10.1.0.9:9000").put("shard", "croft-0");
+    assertThat(BlockRecord.parse("host-000009", before))
+        .isEqualTo(new BlockRecord("croft-0", spot, Map.of("host-000009", 7L)));
+  }
+
   @Property(seed = "13", tries = 500)
   void noBytesDoMoreThanFailToParse(@ForAll byte[] bytes) {
     try {
