--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -56,10 +56,10 @@
   // ---- state service ----
 
   /** Milliseconds. Life of a controller's hold: long enough for a slow second, short to notice. */
-  public static final long HOLD_MS = 6000;
+  public static final long HOLD_MS = 4000;
 
   /** Milliseconds. Touch the hold three times per life. */
-  public static final long HOLD_TOUCH_MS = 2000;
+  public static final long HOLD_TOUCH_MS = 1200;
 
   /** Milliseconds. How long a watch blocks; it also proves that the replica is current. */
   public static final long WATCH_BLOCK_MS = 1000;
@@ -122,6 +122,9 @@
   /** Fraction. A holder goes once the machines fall below this part of what let it in. */
   public static final double FEWER_HOLDERS = 0.7;
 
+  /** Milliseconds. A tick this much too late: the process stood still and heard nobody. */
+  public static final long STOOD_STILL_MS = 700;
+
   /** Milliseconds. Between looks at a team's shares: a demand changes faster than it is worth. */
   public static final long SHARES_MS = 3000;
 
@@ -140,6 +143,14 @@
   /** Milliseconds. A peer whose link broke and stayed silent this long may be succeeded. */
   public static final long PEER_DOWN_MS = 900;
 
+  /**
+   * Milliseconds. A peer that most of us heard nothing from for so long: a pause is over by then.
+   */
+  public static final long PEER_LOST_MS = 2200;
+
+  /** Milliseconds. A worker whose shard changes hands waits so long for it, within its time-out. */
+  public static final long HELLO_WAIT_MS = 2800;
+
   /** Milliseconds. A worker of a shard that came to us twice within this accuses its holder. */
   public static final long ACCUSE_WINDOW_MS = 15_000;
 
@@ -196,8 +207,15 @@
   /** Milliseconds. Between two writes of a shard's log for work that is not prod: fuller ones. */
   public static final long LOG_PAUSE_MS = 200;
 
-  /** Slots. Above this many in use, pages are written so that the oldest can be filled anew. */
-  public static final int LOG_SLOTS = 24;
+  /**
+   * Bytes of a shard's log for each megabyte of memory; above that pages are written, so that its
+   * oldest slots can be filled anew. Every controller holds the log, some ten times as large, and
+   * reads it at its start; the longer it is, the more jobs end without ever needing a page.
+   */
+  public static final int LOG_BYTES_PER_MB = 2048;
+
+  /** Megabytes. Memory where the settings do not tell. */
+  public static final double MEMORY_MB = 256;
 
   /** Bytes. A slot is read whole by every controller at each write: it is kept below this. */
   public static final int LOG_BYTES = 10 * 1024;
@@ -208,14 +226,23 @@
   /** Guards that a transaction may have for each change that it may make; so says the protocol. */
   public static final int GUARDS_PER_OP = 4;
 
+  /** Changes. The end of a cancelled job: its key and its cancel mark, in one transaction. */
+  public static final int END_OPS = 2;
+
   /** Milliseconds. After a refused start a machine's room is doubted for this long. */
   public static final long DOUBT_MS = 2500;
 
-  /** Failures. In a row, of different jobs: the machine is taken for sick. */
+  /** Failures. In a row, of jobs that ran elsewhere, or of so many jobs: the machine is sick. */
   public static final int SICK_AFTER = 3;
 
-  /** Failures. Of one job without a success: the job, not the machines, is taken for faulty. */
-  public static final int JOB_FAULTY_AFTER = 6;
+  /** Machines. A job that failed on so many and ran on none is taken for faulty, not they. */
+  public static final int JOB_FAULTY_AFTER = 3;
+
+  /** Milliseconds. A task that ran for so long shows that its job can run. */
+  public static final long RAN_MS = 2000;
+
+  /** Failures in a row. A job of which so many tasks failed makes a pause before the next try. */
+  public static final int JOB_PAUSED_AFTER = 6;
 
   /** Milliseconds. First pause of a failing job; doubles up to the next constant. */
   public static final long JOB_RETRY_MS = 500;
@@ -235,6 +262,9 @@
   /** Seconds. For a guarantee no more work than this is lost with a task. */
   public static final double PREEMPT_LOSS_S = 2.5;
 
+  /** Seconds. Work that saves loses nothing: for a guarantee it is stopped if that is so quick. */
+  public static final double PREEMPT_SAVE_S = 10;
+
   /** Seconds. The operators' highest value of it: an hour is as good as anything. */
   public static final double PREEMPT_LOSS_MOST_S = 3600;
 
--- a/src/main/java/dunlincroft/Settings.java
+++ b/src/main/java/dunlincroft/Settings.java
@@ -32,7 +32,8 @@
     double valueKb,
     int txnOps,
     double cloudRps,
-    double listLagS) {
+    double listLagS,
+    double memoryMb) {
 
   /** Another controller. */
   public record Peer(String node, InetSocketAddress address) {}
@@ -94,9 +95,28 @@
         positive(state, "deployment.state.", "rps"),
         positive(state, "deployment.state.", "write_rps"),
         positive(state, "deployment.state.", "value_kb"),
-        (int) positive(state, "deployment.state.", "txn_ops"),
+        txnOps(state),
         positive(cloud, "deployment.cloud.", "rps"),
-        positive(cloud, "deployment.cloud.", "list_lag_s"));
+        positive(cloud, "deployment.cloud.", "list_lag_s"),
+        memoryMb(deployment));
+  }
+
+  /** The end of a job must fit into one transaction: with less it would be tried for ever. */
+  private static int txnOps(JsonNode state) throws Malformed {
+    double ops = positive(state, "deployment.state.", "txn_ops");
+    if (ops < Constants.END_OPS) {
+      throw new Malformed("deployment.state.txn_ops must be at least " + Constants.END_OPS);
+    }
+    return (int) ops;
+  }
+
+  private static double memoryMb(JsonNode deployment) throws Malformed {
+    return Fields.absent(deployment, "machine_limits")
+        ? Constants.MEMORY_MB
+        : positive(
+            map(deployment, "deployment.", "machine_limits"),
+            "deployment.machine_limits.",
+            "memory_mb");
   }
 
   /** 0 means that there is no limit. */
@@ -168,6 +188,11 @@
     return Math.min(Constants.LOG_BYTES, (int) (valueKb * 1024 * 0.95) - 16);
   }
 
+  /** Slots of a shard's log in use before pages are written. */
+  public int logSlots() {
+    return Math.max(2, (int) (memoryMb * Constants.LOG_BYTES_PER_MB) / logBytes());
+  }
+
   /**
    * Tasks of one entry that is sure to fit into a slot, with the longest id that a job may have.
    */
--- a/src/main/java/dunlincroft/bookkeeping/JobIndex.java
+++ b/src/main/java/dunlincroft/bookkeeping/JobIndex.java
@@ -50,6 +50,10 @@
     private final Int2ObjectOpenHashMap<Place> places = new Int2ObjectOpenHashMap<>();
     private final Int2ObjectOpenHashMap<Page> pages = new Int2ObjectOpenHashMap<>();
     private int doneCount;
+    private boolean faulty;
+
+    /** The newest record that said whether the job is faulty. */
+    private long faultySaid;
 
     Job(JobSpec spec, String shard, int pageTasks, long acceptedAt) {
       this.spec = spec;
@@ -71,6 +75,26 @@
       return doneCount;
     }
 
+    /** Whether all that was tried of it failed, on several machines. */
+    public boolean faulty() {
+      return faulty;
+    }
+
+    /**
+     * Tasks that wait or run, as far as machines are concerned: a faulty job gets one at a time.
+     */
+    public int wanted() {
+      int open = spec.pieces() - doneCount;
+      return faulty ? Math.min(open, placed() + 1) : open;
+    }
+
+    private void faulty(long number, boolean said) {
+      if (number >= faultySaid) {
+        faulty = said;
+        faultySaid = number;
+      }
+    }
+
     public int placed() {
       return places.size();
     }
@@ -113,6 +137,7 @@
           int task = first + place.task();
           set(task, false, new Place(task, place.host(), place.attempt()));
         }
+        faulty(record.upTo(), record.state().faulty());
         page(number).upTo = record.upTo();
         page(number).oldest = 0;
       }
@@ -122,6 +147,7 @@
     /** Puts an entry on top, as far as the pages do not hold it. */
     private void apply(LogRecord.Entry entry) {
       TaskState state = entry.state();
+      faulty(entry.number(), state.faulty());
       state.done().stream().forEach(task -> apply(entry.number(), task, true, null));
       state.waiting().stream().forEach(task -> apply(entry.number(), task, false, null));
       state.places().forEach(place -> apply(entry.number(), place.task(), false, place));
--- a/src/main/java/dunlincroft/bookkeeping/Replica.java
+++ b/src/main/java/dunlincroft/bookkeeping/Replica.java
@@ -29,7 +29,16 @@
   public static final String PAGES = "pages";
   public static final String LOGS = "logs";
   public static final String CANCELS = "cancels";
+
+  /**
+   * Final states. A job's own key says its end in the place of its description, in one change; the
+   * versions before wrote keys of this kind, which are still read.
+   */
   public static final String ENDED = "ended";
+
+  /** The field that tells the end of a job from its description. */
+  public static final String STATUS = "status";
+
   public static final String TYPES = "types";
 
   private final Map<String, Object2ObjectLinkedOpenHashMap<String, Item>> kinds =
@@ -37,6 +46,7 @@
   private final Object2LongLinkedOpenHashMap<String> removed = new Object2LongLinkedOpenHashMap<>();
   private BiConsumer<String, String> listener = (kind, name) -> {};
   private long epoch;
+  private boolean endsForgotten;
 
   /** Told of every change as kind and name, after it is visible. */
   public void listener(BiConsumer<String, String> changed) {
@@ -57,6 +67,11 @@
     }
   }
 
+  /** Whether some final states are no longer here: only the state service knows them. */
+  public boolean endsForgotten() {
+    return endsForgotten;
+  }
+
   public Map<String, Item> kind(String kind) {
     return kinds.computeIfAbsent(kind, k -> new Object2ObjectLinkedOpenHashMap<>());
   }
@@ -89,19 +104,31 @@
     split(
         key,
         (kind, name) -> {
-          Object2ObjectLinkedOpenHashMap<String, Item> items =
-              (Object2ObjectLinkedOpenHashMap<String, Item>) kind(kind);
-          Item known = items.get(name);
-          if (known == null || known.stamp < stamp) {
-            items.put(name, new Item(data, stamp));
-            if (kind.equals(ENDED) && items.size() > Constants.ENDED_IN_MEMORY) {
-              items.removeFirst();
-            }
-            listener.accept(kind, name);
+          if (kind.equals(JOBS) && stamp(ENDED, name) > stamp) {
+            return; // An older state of a job that is over.
+          }
+          boolean end = kind.equals(JOBS) && data.has(STATUS);
+          set(end ? ENDED : kind, name, new Item(data, stamp));
+          if (end && kind(JOBS).remove(name) != null) {
+            listener.accept(JOBS, name);
           }
         });
   }
 
+  private void set(String kind, String name, Item item) {
+    Object2ObjectLinkedOpenHashMap<String, Item> items =
+        (Object2ObjectLinkedOpenHashMap<String, Item>) kind(kind);
+    Item known = items.get(name);
+    if (known == null || known.stamp < item.stamp) {
+      items.put(name, item);
+      if (kind.equals(ENDED) && items.size() > Constants.ENDED_IN_MEMORY) {
+        items.removeFirst();
+        endsForgotten = true;
+      }
+      listener.accept(kind, name);
+    }
+  }
+
   void remove(String key, long stamp) {
     split(
         key,
--- a/src/main/java/dunlincroft/bookkeeping/StateStore.java
+++ b/src/main/java/dunlincroft/bookkeeping/StateStore.java
@@ -33,6 +33,7 @@
     READ,
     FINISH,
     CANCEL,
+    ACCEPT_PROD,
     ACCEPT,
     START,
     LAZY
@@ -180,8 +181,9 @@
       long timeoutMs,
       Consumer<Answer> then) {
     long now = env.nowMillis();
-    long patience = urgency == Urgency.ACCEPT ? Constants.ANSWER_MS : Constants.BUDGET_WAIT_MS;
-    if (urgency == Urgency.ACCEPT && waitS(puts) * 1000 > patience) {
+    boolean user = urgency == Urgency.ACCEPT_PROD || urgency == Urgency.ACCEPT;
+    long patience = user ? Constants.ANSWER_MS : Constants.BUDGET_WAIT_MS;
+    if (user && waitS(urgency, puts) * 1000 > patience) {
       // A user who cannot be served in time is told so now, not when the time is over.
       refused++;
       env.after(0, () -> then.accept(NOT_SENT));
@@ -197,10 +199,10 @@
     pump.in(0);
   }
 
-  /** Seconds that so many changes would wait behind what waits already. */
-  private double waitS(int changes) {
+  /** Seconds that so many changes would wait behind what waits already and goes before them. */
+  private double waitS(Urgency urgency, int changes) {
     double ahead = changes;
-    for (ArrayDeque<Pending> queue : queues) {
+    for (ArrayDeque<Pending> queue : queues.subList(0, urgency.ordinal() + 1)) {
       for (Pending pending : queue) {
         ahead += pending.writes;
       }
@@ -210,7 +212,7 @@
 
   /** Whole seconds after which a user who is refused now may expect to be served. */
   public int retryAfterS() {
-    int seconds = (int) Math.ceil(waitS(1));
+    int seconds = (int) Math.ceil(waitS(Urgency.LAZY, 1));
     return Math.max(Constants.RETRY_AFTER_S, Math.min(Constants.RETRY_AFTER_MOST_S, seconds));
   }
 
@@ -292,7 +294,11 @@
       switch (answer.status) {
         case 200 -> {
           long epoch = Fields.count(answer.body, "epoch");
-          for (Txn.Op op : txn.ops()) {
+          // An answer can lie in a socket for as long as the process stands still. What the feed
+          // has
+          // passed meanwhile it has shown, with all that came after: shown again, a job that has
+          // ended would be there once more, and be run by whoever holds its shard.
+          for (Txn.Op op : epoch <= replica.epoch() ? List.<Txn.Op>of() : txn.ops()) {
             if (op.data() == null) {
               replica.remove(op.key(), epoch);
             } else {
--- a/src/main/java/dunlincroft/coordination/Controller.java
+++ b/src/main/java/dunlincroft/coordination/Controller.java
@@ -14,8 +14,10 @@
 import dunlincroft.transport.Beat;
 import dunlincroft.transport.Env;
 import dunlincroft.transport.Responder;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,6 +38,12 @@
   private final Handover handover;
   private final JobDesk jobs;
   private final Figures figures;
+
+  /** A report whose machine's shard is between two holders. */
+  private record Waiting(WorkerReport report, Responder out, long since) {}
+
+  private final List<Waiting> waiting = new ArrayList<>();
+  private long lastTick;
   private long nextSlow;
   private long nextSupply;
   private long nextFigures;
@@ -78,6 +86,7 @@
     members.start();
     world.feed.start();
     nextFigures = world.now() + Constants.FIGURES_MS;
+    lastTick = world.now();
     tick();
   }
 
@@ -128,6 +137,7 @@
 
   /** A shard is newly ours: its machines are asked at once, so that loads are known. */
   private void taken() {
+    answerWaiting();
     world.machines.values().stream().filter(machine -> !machine.reported).forEach(desk::probe);
     supply.findMachines();
   }
@@ -137,10 +147,16 @@
   private void tick() {
     world.env.after(Constants.PLACE_MS, this::tick);
     long now = world.now();
+    long stood = now - lastTick - Constants.PLACE_MS;
+    lastTick = now;
+    if (stood > Constants.STOOD_STILL_MS) {
+      stoodStill(stood);
+    }
     if (now >= nextSlow) {
       nextSlow = now + 5 * Constants.PLACE_MS;
       share();
       members.tick();
+      answerWaiting();
       supply.typesTick();
       if (members.leads() && world.feed.synced()) {
         members.renewLeases();
@@ -184,6 +200,22 @@
     }
   }
 
+  /**
+   * We heard nobody while we stood still: silence that was ours is nobody else's. What rests on the
+   * state service's word (our holds, how current our replica is) keeps its true age.
+   */
+  private void stoodStill(long ms) {
+    LOG.info(
+        "node {} stood still for {} ms: what it did not hear meanwhile is no silence", me(), ms);
+    figures.count(Figures.Event.STANDSTILL);
+    world.stoodStill(ms);
+    members.stoodStill(ms);
+  }
+
+  private String me() {
+    return world.settings.node();
+  }
+
   private boolean fresh() {
     return !world.held.isEmpty()
         && world.feed.synced()
@@ -218,6 +250,10 @@
 
   /** Answers a worker: orders from the holder of its machine's shard, or the way there. */
   public void hello(WorkerReport report, Responder out) {
+    hello(report, out, world.now());
+  }
+
+  private void hello(WorkerReport report, Responder out, long since) {
     if (!world.feed.synced()) {
       out.send(503, EMPTY, 0);
       return;
@@ -245,25 +281,41 @@
       return;
     }
     String holder = world.holderOf(shard);
-    ObjectNode away = Cbor.map();
-    if (holder != null && !holder.equals(world.settings.node())) {
+    boolean others = holder != null && !holder.equals(me());
+    if (others && since == world.now()) {
       members.strayed(report.host(), shard);
-      away.put("steward", holder);
+    }
+    if (members.unsettled(shard) && world.now() - since < Constants.HELLO_WAIT_MS) {
+      // Sent to a node that is gone it would lose five seconds, and perhaps come here again.
+      waiting.add(new Waiting(report, out, since));
+    } else {
+      away(others ? holder : null, out);
+    }
+  }
+
+  private static void away(String steward, Responder out) {
+    ObjectNode away = Cbor.map();
+    if (steward != null) {
+      away.put("steward", steward);
     }
     out.send(MISDIRECTED, Cbor.bytes(away), 0);
   }
 
+  /** Looks again at workers that wait for their shard to change hands. */
+  private void answerWaiting() {
+    if (!waiting.isEmpty()) {
+      List<Waiting> again = List.copyOf(waiting);
+      waiting.clear();
+      again.forEach(each -> hello(each.report, each.out, each.since));
+    }
+  }
+
   private void unknown(WorkerReport report, Responder out) {
     if (members.leads()) {
       adoption.adopt(report);
       out.send(503, EMPTY, 0);
       return;
     }
-    ObjectNode away = Cbor.map();
-    String leader = members.leader();
-    if (leader != null) {
-      away.put("steward", leader);
-    }
-    out.send(MISDIRECTED, Cbor.bytes(away), 0);
+    away(members.leader(), out);
   }
 }
--- a/src/main/java/dunlincroft/coordination/Demand.java
+++ b/src/main/java/dunlincroft/coordination/Demand.java
@@ -62,7 +62,7 @@
         continue;
       }
       Room room = left.getOrDefault(team.name(), team.limit());
-      int open = spec.room().countIn(room, open(job));
+      int open = spec.room().countIn(room, job.wanted());
       left.put(team.name(), room.minus(spec.room().times(open)));
       Need need = needs.computeIfAbsent(type.label(), label -> new Need());
       if (world.spot(spec)) {
@@ -99,11 +99,6 @@
     return world.replica.get(Replica.CANCELS, spec.ref()) != null;
   }
 
-  /** Tasks that wait or run. */
-  static int open(JobIndex.Job job) {
-    return job.spec.pieces() - job.done();
-  }
-
   // ---- by shard ----
 
   /** The numbers of machines in recorded blocks, by class and shard. */
@@ -130,7 +125,7 @@
           && spec.room().fits(type.room())
           && (!blocks.lendable() || world.policy.spot(spec))
           && !cancelled(spec)) {
-        work.merge(job.shard, machines(spec, type, open(job)), Double::sum);
+        work.merge(job.shard, machines(spec, type, job.wanted()), Double::sum);
       }
     }
     return work;
@@ -141,7 +136,7 @@
     Map<String, Room> work = new HashMap<>();
     for (JobIndex.Job job : world.index.all().values()) {
       if (job.spec.owner().equals(team) && !cancelled(job.spec)) {
-        work.merge(job.shard, job.spec.room().times(open(job)), Room::plus);
+        work.merge(job.shard, job.spec.room().times(job.wanted()), Room::plus);
       }
     }
     return work;
--- a/src/main/java/dunlincroft/coordination/Figures.java
+++ b/src/main/java/dunlincroft/coordination/Figures.java
@@ -19,7 +19,8 @@
     RELEASE,
     PREEMPTION,
     MOVE,
-    HANDOVER
+    HANDOVER,
+    STANDSTILL
   }
 
   private final Map<String, Histogram> waits = new TreeMap<>();
--- a/src/main/java/dunlincroft/coordination/JobDesk.java
+++ b/src/main/java/dunlincroft/coordination/JobDesk.java
@@ -1,5 +1,6 @@
 package dunlincroft.coordination;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.Constants;
 import dunlincroft.Settings;
@@ -99,7 +100,7 @@
     ObjectNode record =
         JobIndex.record(spec, owner, world.settings.pageTasks(), world.env.wallMillis());
     world.store.commit(
-        Urgency.ACCEPT,
+        spec.rank() == JobSpec.Rank.PROD ? Urgency.ACCEPT_PROD : Urgency.ACCEPT,
         new Txn()
             .guard(Wire.key(Replica.JOBS, ref), 0)
             .guard(Wire.key(Replica.ENDED, ref), 0)
@@ -140,14 +141,12 @@
 
   private Outcome ended(String ref) {
     Item item = world.replica.get(Replica.ENDED, ref);
-    return item == null
-        ? null
-        : new Outcome(
-            Verdict.OK,
-            ref,
-            item.data().path("status").asText(),
-            item.data().path("done").asInt(),
-            0);
+    return item == null ? null : ended(ref, item.data());
+  }
+
+  private static Outcome ended(String ref, JsonNode end) {
+    String status = end.path(Replica.STATUS).asText();
+    return new Outcome(Verdict.OK, ref, status, end.path("done").asInt(), 0);
   }
 
   public void poll(String ref, Consumer<Outcome> then) {
@@ -161,35 +160,43 @@
     }
   }
 
-  /** The state after a barrier; a job that the replica lacks is looked up before a 404. */
+  /** The state after a barrier; one whose end may have been forgotten is looked up before a 404. */
   private void known(String ref, Consumer<Outcome> then) {
     state(
         ref,
         outcome -> {
-          if (outcome.verdict != Verdict.NOT_FOUND) {
+          if (outcome.verdict != Verdict.NOT_FOUND || !world.replica.endsForgotten()) {
             then.accept(outcome);
             return;
           }
-          world.store.get(
-              Wire.key(Replica.ENDED, ref),
-              answer -> {
-                if (answer.status() == 404) {
-                  then.accept(outcome);
-                } else if (answer.status() == 200 && answer.body().path("data").has("status")) {
-                  then.accept(
-                      new Outcome(
-                          Verdict.OK,
-                          ref,
-                          answer.body().path("data").path("status").asText(),
-                          answer.body().path("data").path("done").asInt(),
-                          0));
+          lookUp(
+              Replica.JOBS,
+              ref,
+              found -> {
+                if (found.verdict == Verdict.NOT_FOUND) {
+                  lookUp(Replica.ENDED, ref, then);
                 } else {
-                  then.accept(Outcome.of(Verdict.UNAVAILABLE, ref));
+                  then.accept(found);
                 }
               });
         });
   }
 
+  /** Reads the end of a job that our replica no longer holds. */
+  private void lookUp(String kind, String ref, Consumer<Outcome> then) {
+    world.store.get(
+        Wire.key(kind, ref),
+        answer -> {
+          if (answer.status() == 404) {
+            then.accept(Outcome.of(Verdict.NOT_FOUND, ref));
+          } else if (answer.status() == 200 && answer.body().path("data").has(Replica.STATUS)) {
+            then.accept(ended(ref, answer.body().path("data")));
+          } else {
+            then.accept(Outcome.of(Verdict.UNAVAILABLE, ref));
+          }
+        });
+  }
+
   private void state(String ref, Consumer<Outcome> then) {
     world.feed.barrier(
         ok -> {
@@ -230,7 +237,7 @@
           world.store.commit(
               Urgency.CANCEL,
               new Txn()
-                  .guard(Wire.key(Replica.ENDED, ref), 0)
+                  .guard(Wire.key(Replica.JOBS, ref), world.replica.stamp(Replica.JOBS, ref))
                   .guard(Wire.key(Replica.CANCELS, ref), 0)
                   .put(Wire.key(Replica.CANCELS, ref), Cbor.map()),
               result -> {
--- a/src/main/java/dunlincroft/coordination/JobRun.java
+++ b/src/main/java/dunlincroft/coordination/JobRun.java
@@ -1,6 +1,7 @@
 package dunlincroft.coordination;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dunlincroft.Constants;
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.protocol.JobSpec;
 import dunlincroft.protocol.LogRecord;
@@ -51,7 +52,7 @@
           places.add(new TaskState.Place(task - first, p.machine.host, p.attempt));
         }
       }
-      TaskState state = new TaskState(recordedDone.get(first, end), new BitSet(), places);
+      TaskState state = new TaskState(recordedDone.get(first, end), new BitSet(), places, faulty);
       return new PageRecord(state, upTo);
     }
   }
@@ -87,7 +88,8 @@
         waiting.clear(p.task);
         at.add(new TaskState.Place(p.task, p.machine.host, p.attempt));
       }
-      return new LogRecord.Entry(number, job.id, new TaskState(done, waiting, at)).toNode();
+      return new LogRecord.Entry(number, job.id, new TaskState(done, waiting, at, job.faulty))
+          .toNode();
     }
   }
 
@@ -135,11 +137,22 @@
   boolean halting;
 
   /** Failures in a row, and when the next try may be made. */
-  int failures;
+  private int failures;
 
   long retryAtMs;
+
+  /** Some machine is kept from the job since a task of it failed there. */
   boolean everFailed;
 
+  /** Machines that it failed on; none once a task of it has run, as the fault is not the job's. */
+  private final Set<String> failedOn = new HashSet<>();
+
+  /** A task of it has run for a while, or to its end, since this holder began. */
+  private boolean ran;
+
+  /** Fails wherever it goes, as far as is known: it gets one machine at a time until it is not. */
+  boolean faulty;
+
   /** Since when a task waits without room; -1: none does. */
   long waitingSince = -1;
 
@@ -248,8 +261,36 @@
     return starting;
   }
 
+  /** A task failed on a machine. Returns whether that speaks against the machine. */
+  boolean failed(String host, long nowMs) {
+    failures++;
+    everFailed = true;
+    if (!ran) {
+      failedOn.add(host);
+      faulty |= failedOn.size() >= Constants.JOB_FAULTY_AFTER;
+    }
+    int pauses = failures - Constants.JOB_PAUSED_AFTER;
+    if (faulty || pauses >= 0) {
+      long pause = Constants.JOB_RETRY_MS << Math.max(0, Math.min(10, pauses));
+      retryAtMs = nowMs + Math.min(Constants.JOB_RETRY_MAX_MS, pause);
+    }
+    return ran;
+  }
+
+  /** A task has run for a while or to its end. Returns whether the job was taken for faulty. */
+  boolean ranWell() {
+    boolean was = faulty;
+    ran = true;
+    faulty = false;
+    failures = 0;
+    failedOn.clear();
+    return was;
+  }
+
   /** Takes over what the records say. */
   void load(JobIndex.Job from) {
+    faulty = from.faulty();
+    ran = !faulty && from.done() > 0;
     from.doneTasks().stream().forEach(this::finish);
     recordedDone.or(from.doneTasks());
     for (int number : from.pageNumbers()) {
--- a/src/main/java/dunlincroft/coordination/Ledger.java
+++ b/src/main/java/dunlincroft/coordination/Ledger.java
@@ -284,7 +284,7 @@
    */
   private void save(ShardLog log) {
     long oldest = oldestMissing(log.shard);
-    if (log.used(oldest) <= Constants.LOG_SLOTS) {
+    if (log.used(oldest) <= world.settings.logSlots()) {
       return;
     }
     List<JobRun.Page> behind = new ArrayList<>();
@@ -389,7 +389,7 @@
         });
   }
 
-  /** The final state replaces the job in one transaction. */
+  /** The final state takes the place of the job's description: one change for most jobs. */
   private void finish(JobRun job) {
     List<JobRun.Page> pages = job.knownPages();
     if (job.underWay() || pages.stream().anyMatch(page -> page.uncertain)) {
@@ -400,24 +400,21 @@
     List<JobRun.Page> kept =
         pages.stream()
             .filter(page -> page.stamp > 0)
-            .limit(Math.max(0, world.settings.txnOps() - 3))
+            .limit(world.settings.txnOps() - Constants.END_OPS)
             .toList();
     job.finishing = true;
     ObjectNode end =
         Cbor.map()
-            .put("status", withdrawn ? Wire.WITHDRAWN : Wire.DONE)
+            .put(Replica.STATUS, withdrawn ? Wire.WITHDRAWN : Wire.DONE)
             .put("done", job.done.cardinality());
     String jobKey = Wire.key(Replica.JOBS, job.id);
     String cancelKey = Wire.key(Replica.CANCELS, job.id);
-    String endKey = Wire.key(Replica.ENDED, job.id);
     Txn txn =
         new Txn()
             .guard(Wire.key(Replica.SHARDS, job.shard), world.held.getLong(job.shard))
             .guard(jobKey, world.replica.stamp(Replica.JOBS, job.id))
-            .guard(endKey, 0)
             .guard(cancelKey, world.replica.stamp(Replica.CANCELS, job.id))
-            .put(endKey, end)
-            .remove(jobKey);
+            .put(jobKey, end);
     if (withdrawn) {
       txn.remove(cancelKey);
     }
--- a/src/main/java/dunlincroft/coordination/Machine.java
+++ b/src/main/java/dunlincroft/coordination/Machine.java
@@ -4,6 +4,7 @@
 import dunlincroft.protocol.MachineType;
 import dunlincroft.protocol.Room;
 import dunlincroft.protocol.WorkerReport;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,18 @@
 
 /** A machine of a shard that this node holds. */
 final class Machine {
+  /** How soon a task may start, as far as its image is concerned. */
+  enum Warmth {
+    /** The image is there. */
+    WARM,
+    /** It is being fetched for another task. */
+    COMING,
+    /** It would be fetched alone. */
+    COLD,
+    /** It would share the machine's rate with other fetches, and slow them down. */
+    CROWDED
+  }
+
   final String host;
   final String shard;
   final String flavour;
@@ -39,7 +52,12 @@
   private int daemons;
 
   /** Images that a task ran from here, as far as this holder saw. */
-  final Set<String> images = new HashSet<>();
+  private final Set<String> images = new HashSet<>();
+
+  /** Placements by image, and how many of these images are not there yet. */
+  private final Object2IntOpenHashMap<String> byImage = new Object2IntOpenHashMap<>();
+
+  private int fetching;
 
   /** Room of tasks that no record names; they are being stopped. */
   Room strays = Room.NONE;
@@ -50,6 +68,9 @@
   /** A direct order got no answer under this fence: it may still be executed. 0: none. */
   long unresolvedFence;
 
+  /** When a direct call was last given up. */
+  long unansweredAt = -1;
+
   boolean raising;
   boolean probing;
   boolean suspected;
@@ -83,7 +104,10 @@
   final Set<JobRun> named = new HashSet<>();
 
   long doubtUntil;
+
+  /** Failures in a row of jobs that ran elsewhere; and all jobs that failed here meanwhile. */
   int failures;
+
   final Set<String> failedJobs = new HashSet<>();
   long idleSince = -1;
 
@@ -109,13 +133,40 @@
     placed.put(p.piece(), p);
     booked = booked.plus(p.job.spec.room());
     daemons += p.job.spec.daemon() ? 1 : 0;
+    String image = p.job.spec.bundle();
+    if (byImage.addTo(image, 1) == 0 && !images.contains(image)) {
+      fetching++;
+    }
   }
 
   void remove(Placement p) {
     if (placed.remove(p.piece(), p)) {
       booked = booked.minus(p.job.spec.room());
       daemons -= p.job.spec.daemon() ? 1 : 0;
+      String image = p.job.spec.bundle();
+      if (byImage.addTo(image, -1) == 1) {
+        byImage.removeInt(image);
+        fetching -= images.contains(image) ? 0 : 1;
+      }
+    }
+  }
+
+  /** A task runs from this image. */
+  void imageThere(String image) {
+    if (images.add(image) && byImage.containsKey(image)) {
+      fetching--;
+    }
+  }
+
+  /** How far the machine is from having an image, the nearest first. */
+  Warmth warmth(String image) {
+    if (images.contains(image)) {
+      return Warmth.WARM;
+    }
+    if (byImage.containsKey(image)) {
+      return Warmth.COMING;
     }
+    return fetching == 0 ? Warmth.COLD : Warmth.CROWDED;
   }
 
   Room used() {
--- a/src/main/java/dunlincroft/coordination/Membership.java
+++ b/src/main/java/dunlincroft/coordination/Membership.java
@@ -113,8 +113,31 @@
   // ---- the link: advice only ----
 
   Beat beat() {
+    List<String> unheard = names.stream().filter(this::unheard).toList();
     return new Beat(
-        settings.node(), incarnation, world.feed.silentMs(), wish.requests(), wish.writes());
+        settings.node(),
+        incarnation,
+        world.feed.silentMs(),
+        wish.requests(),
+        wish.writes(),
+        unheard);
+  }
+
+  private boolean unheard(String node) {
+    return !node.equals(settings.node()) && linkSilentMs(node) > Constants.PEER_LOST_MS;
+  }
+
+  /**
+   * Most controllers, we among them, say right now that they hear nothing from a node. Where links
+   * between controllers are refused nobody says so, and its hold or its workers decide.
+   */
+  private boolean lost(String node) {
+    long say =
+        settings.others().stream()
+            .filter(peer -> !linkSilent(peer.node()))
+            .filter(peer -> beats.get(peer.node()).unheard().contains(node))
+            .count();
+    return unheard(node) && 2 * (say + 1) > names.size();
   }
 
   void heard(Beat beat) {
@@ -139,8 +162,36 @@
     world.store.share(wish, others);
   }
 
+  /** Peers could not be heard, and workers went elsewhere for our own silence's sake. */
+  void stoodStill(long ms) {
+    lastBeat.replaceAll((node, at) -> Math.min(world.now(), at + ms));
+    leaderSeen = Math.min(world.now(), leaderSeen + ms);
+    returned.clear();
+    sentAway.clear();
+    takeDueAt.clear();
+    wellSince.clear();
+  }
+
+  private long linkSilentMs(String node) {
+    return world.now() - lastBeat.getOrDefault(node, 0L);
+  }
+
   private boolean linkSilent(String node) {
-    return world.now() - lastBeat.getOrDefault(node, 0L) > Constants.PEER_DOWN_MS;
+    return linkSilentMs(node) > Constants.PEER_DOWN_MS;
+  }
+
+  /**
+   * Whether a shard is about to change hands, or has come to us and we do not act for it yet. When
+   * we hear hardly anybody, one node's silence says nothing about it.
+   */
+  boolean unsettled(String shard) {
+    String holder = world.holderOf(shard);
+    if (holder == null || world.holds(shard)) {
+      return false;
+    }
+    long heard = settings.others().stream().filter(peer -> !linkSilent(peer.node())).count();
+    return holder.equals(settings.node())
+        || (linkSilent(holder) && 2 * heard >= settings.others().size());
   }
 
   /** Every other controller says, right now, that it too hears nothing from the state service. */
@@ -251,6 +302,8 @@
       why = "the hold of " + holder + " has ended";
     } else if (world.now() < patienceUntil.getOrDefault(shard, 0L)) {
       why = null;
+    } else if (lost(holder)) {
+      why = "most controllers hear nothing from " + holder;
     } else if (accused(shard) >= 1 && linkSilent(holder)) {
       why = holder + " is silent and its workers come to us";
     } else if (accused(shard) >= Constants.ACCUSE_COUNT) {
--- a/src/main/java/dunlincroft/coordination/Placement.java
+++ b/src/main/java/dunlincroft/coordination/Placement.java
@@ -25,6 +25,9 @@
   /** The worker's newest report has it. */
   boolean shown;
 
+  /** When the worker was first seen to run it. */
+  long runsSince;
+
   /** Last status the worker reported; null while it reported none. */
   String status;
 
--- a/src/main/java/dunlincroft/coordination/Scheduler.java
+++ b/src/main/java/dunlincroft/coordination/Scheduler.java
@@ -4,11 +4,14 @@
 import dunlincroft.Settings;
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.bookkeeping.Replica;
+import dunlincroft.coordination.Machine.Warmth;
 import dunlincroft.protocol.JobSpec;
 import dunlincroft.protocol.JobSpec.Rank;
 import dunlincroft.protocol.Room;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -65,8 +68,8 @@
                       .share(job.spec.owner(), job.shard)
                       .minus(world.used(job.spec.owner(), job.shard)));
       int may = job.spec.room().countIn(left, job.waiting());
-      if (job.failures >= Constants.JOB_FAULTY_AFTER) {
-        may = Math.min(may, 1);
+      if (job.faulty) {
+        may = Math.max(0, Math.min(may, 1 - job.placed.size()));
       }
       if (may < job.waiting() && hastened.add(job.spec.owner())) {
         world.jobs.values().stream()
@@ -109,10 +112,10 @@
       if (team == null || world.replica.get(Replica.CANCELS, job.spec.ref()) != null) {
         continue;
       }
-      long open = job.spec.pieces() - job.done();
+      long open = job.wanted();
       Room sum = taken.getOrDefault(team.name(), Room.NONE).plus(job.spec.room().times(open));
       taken.put(team.name(), sum);
-      if (sum.fits(team.guarantee())) {
+      if (sum.fits(team.guarantee()) && !job.faulty()) {
         within.add(job.spec.ref());
       }
     }
@@ -154,13 +157,17 @@
 
   /** What is free for a job's tasks on a machine, or null when the machine is not for them. */
   private Room roomFor(JobRun job, Machine machine) {
-    if (!machine.mayHave(job.spec.room())
-        || !world.usable(machine)
-        || !machine.shard.equals(job.shard)
-        || !world.allows(job.spec, machine)
-        || (machine.failedJobs.contains(job.id) && job.failures < Constants.JOB_FAULTY_AFTER)) {
-      return null;
-    }
+    return machine.mayHave(job.spec.room()) && suits(job, machine) ? freeFor(job, machine) : null;
+  }
+
+  private boolean suits(JobRun job, Machine machine) {
+    return world.usable(machine)
+        && machine.shard.equals(job.shard)
+        && world.allows(job.spec, machine)
+        && !machine.failedJobs.contains(job.id);
+  }
+
+  private Room freeFor(JobRun job, Machine machine) {
     Room all = machine.type.room();
     double kept = 1 - world.policy.bound(machine.type, machine.hall, machine.lendable);
     if (job.spec.rank() != Rank.PROD && machine.hasDaemon()) {
@@ -207,26 +214,40 @@
       walk = walk.stream().filter(machine -> machine.hall.equals(zone)).toList();
     }
     if (job.spec.spread() && job.spec.pieces() > 1) {
-      while (placed < most && placeSpread(job, walk, now)) {
+      Collection<List<Machine>> groups = byWarmth(job, walk);
+      while (placed < most && placeSpread(job, groups, now)) {
         placed++;
       }
       return placed;
     }
-    // Warm machines first, with the random buffer; then any; then any that has exact room.
-    for (int pass = 0; pass < 3 && placed < most; pass++) {
-      for (Machine machine : walk) {
-        if (placed == most) {
-          break;
-        }
-        if (pass == 0 && !machine.images.contains(job.spec.bundle())) {
-          continue;
+    // With the random buffer first, then wherever there is exact room.
+    for (boolean buffered : new boolean[] {true, false}) {
+      for (List<Machine> alike : byWarmth(job, walk)) {
+        for (Machine machine : alike) {
+          if (placed == most) {
+            return placed;
+          }
+          placed += fill(job, machine, most - placed, buffered, now);
         }
-        placed += fill(job, machine, most - placed, pass < 2, now);
       }
     }
     return placed;
   }
 
+  /**
+   * A walk by how soon the image can be there; within each, the ring's order. Fetches of several
+   * images share a machine's rate: one that fetches already is passed for one that does not.
+   */
+  private static Collection<List<Machine>> byWarmth(JobRun job, List<Machine> walk) {
+    Map<Warmth, List<Machine>> groups = new EnumMap<>(Warmth.class);
+    for (Machine machine : walk) {
+      groups
+          .computeIfAbsent(machine.warmth(job.spec.bundle()), w -> new ArrayList<>())
+          .add(machine);
+    }
+    return groups.values();
+  }
+
   /**
    * Machines with room for a task, clockwise from the image's hash. Work that may use spot machines
    * goes there first and to those with services last; services stay together, so that other
@@ -289,20 +310,18 @@
   }
 
   /** Replicas: the zone with the fewest of the job's tasks first, then the walk within the zone. */
-  private boolean placeSpread(JobRun job, List<Machine> walk, long now) {
+  private boolean placeSpread(JobRun job, Collection<List<Machine>> groups, long now) {
     List<String> zones =
-        walk.stream()
+        groups.stream()
+            .flatMap(List::stream)
             .map(machine -> machine.hall)
             .distinct()
             .sorted(Comparator.comparingInt(job.perZone::getInt))
             .toList();
-    for (int pass = 0; pass < 2; pass++) {
+    for (List<Machine> alike : groups) {
       for (String zone : zones) {
-        for (Machine machine : walk) {
-          boolean warm = machine.images.contains(job.spec.bundle());
-          if (machine.hall.equals(zone)
-              && (warm || pass > 0)
-              && fill(job, machine, 1, false, now) == 1) {
+        for (Machine machine : alike) {
+          if (machine.hall.equals(zone) && fill(job, machine, 1, false, now) == 1) {
             return true;
           }
         }
@@ -342,59 +361,112 @@
       return;
     }
     job.nextPreempt = now + (job.spec.rank() == Rank.PROD ? patience : Constants.PREEMPT_PAUSE_MS);
-    List<Placement> victims = new ArrayList<>();
-    Room coming = Room.NONE;
+    List<Eviction> evictions = new ArrayList<>();
+    int left = need;
     for (Machine machine : world.machines.values()) {
-      if (!machine.shard.equals(job.shard)
-          || !world.usable(machine)
-          || !world.allows(job.spec, machine)) {
-        continue;
+      if (suits(job, machine)) {
+        left -= evictions(job, machine, guaranteed, within, now, evictions);
       }
-      for (Placement p : machine.placed.values()) {
-        if (p.stop) {
-          coming = coming.plus(p.job.spec.room());
-        } else if (mayStop(job, guaranteed, p, within)
-            && (job.spec.rank() == Rank.PROD
-                || lost(p, now) <= world.policy.preemptLossMs(p.job.spec))) {
-          victims.add(p);
-        }
+    }
+    evictions.sort(
+        Comparator.comparing((Eviction e) -> e.rank)
+            .reversed()
+            .thenComparing(e -> !e.warm)
+            .thenComparingLong(e -> e.lostMs));
+    for (Eviction eviction : evictions) {
+      if (left-- <= 0) {
+        break;
+      }
+      for (Placement p : eviction.victims) {
+        LOG.info(
+            "{} on host {} is stopped to make room for job {} ({})",
+            p.piece(),
+            p.machine.host,
+            job.id,
+            guaranteed ? "guarantee" : "rank");
+        p.job.halt(p);
+        world.figures.count(Figures.Event.PREEMPTION);
+        stopped.add(p.machine);
       }
     }
-    Room wanted = job.spec.room().times(need).minus(coming);
+  }
+
+  /**
+   * Tasks of one machine whose room, with what is free or on its way there, lets one more task of a
+   * job start. Room in pieces on several machines would serve nobody but those who wait for less,
+   * and be stopped for again.
+   */
+  private record Eviction(List<Placement> victims, Rank rank, boolean warm, long lostMs) {}
+
+  /**
+   * Adds what stopping work on a machine can do for a job, task by task, the least loss first.
+   * Returns how many tasks of it have room there without that.
+   */
+  private int evictions(
+      JobRun job,
+      Machine machine,
+      boolean guaranteed,
+      Set<String> within,
+      long now,
+      List<Eviction> into) {
+    Room room = job.spec.room();
+    Room free = freeFor(job, machine);
+    List<Placement> victims = new ArrayList<>();
+    for (Placement p : machine.placed.values()) {
+      if (p.stop) {
+        free = free.plus(p.job.spec.room());
+      } else if (mayStop(job, guaranteed, p, within, now)) {
+        victims.add(p);
+      }
+    }
+    int coming = Math.max(0, room.countIn(free, Constants.MAX_PIECES));
+    if (victims.isEmpty()) {
+      return coming;
+    }
     victims.sort(
         Comparator.comparing((Placement p) -> p.job.spec.rank())
             .reversed()
             .thenComparingLong(p -> lost(p, now)));
+    free = free.minus(room.times(coming));
+    List<Placement> together = new ArrayList<>();
+    boolean warm = machine.warmth(job.spec.bundle()) == Warmth.WARM;
+    long lost = 0;
     for (Placement p : victims) {
-      if (wanted.cpu() <= 0 && wanted.gpu() <= 0 && wanted.ram() <= 0) {
-        break;
+      together.add(p);
+      lost += lost(p, now);
+      free = free.plus(p.job.spec.room());
+      if (room.fits(free)) {
+        into.add(new Eviction(List.copyOf(together), p.job.spec.rank(), warm, lost));
+        free = free.minus(room);
+        together.clear();
       }
-      LOG.info(
-          "{} on host {} is stopped to make room for job {} ({})",
-          p.piece(),
-          p.machine.host,
-          job.id,
-          guaranteed ? "guarantee" : "rank");
-      p.job.halt(p);
-      world.figures.count(Figures.Event.PREEMPTION);
-      wanted = wanted.minus(p.job.spec.room());
-      stopped.add(p.machine);
     }
+    return coming;
   }
 
-  private static boolean mayStop(JobRun job, boolean guaranteed, Placement p, Set<String> within) {
+  private boolean mayStop(
+      JobRun job, boolean guaranteed, Placement p, Set<String> within, long now) {
     JobSpec theirs = p.job.spec;
     if (theirs.rank() == Rank.PROD || theirs.daemon()) {
       return false;
     }
-    boolean rank = theirs.rank().compareTo(job.spec.rank()) > 0;
-    boolean borrowed =
-        guaranteed && !theirs.owner().equals(job.spec.owner()) && !within.contains(p.job.id);
-    return job.spec.rank() == Rank.PROD ? rank : borrowed;
+    if (job.spec.rank() == Rank.PROD) {
+      return theirs.rank().compareTo(job.spec.rank()) > 0;
+    }
+    return guaranteed
+        && !theirs.owner().equals(job.spec.owner())
+        && !within.contains(p.job.id)
+        && (saves(p)
+            ? theirs.flushS() <= Constants.PREEMPT_SAVE_S
+            : lost(p, now) <= world.policy.preemptLossMs(theirs));
+  }
+
+  private static boolean saves(Placement p) {
+    return p.job.spec.snapshotS() > 0;
   }
 
   /** Milliseconds of work that stopping a task now costs; one that saves loses only its saving. */
   private static long lost(Placement p, long now) {
-    return p.job.spec.snapshotS() > 0 ? (long) (p.job.spec.flushS() * 1000) : now - p.sinceMs;
+    return saves(p) ? (long) (p.job.spec.flushS() * 1000) : now - p.sinceMs;
   }
 }
--- a/src/main/java/dunlincroft/coordination/Supply.java
+++ b/src/main/java/dunlincroft/coordination/Supply.java
@@ -356,7 +356,7 @@
       JobIndex.Job job = entry.getValue();
       int started = job.done() + job.placed();
       Progress last = progress.get(entry.getKey());
-      if (last == null || last.started != started || job.placed() >= Demand.open(job)) {
+      if (last == null || last.started != started || job.placed() >= job.wanted() || job.faulty()) {
         progress.put(entry.getKey(), new Progress(started, world.now()));
       } else if (world.now() - last.since > Constants.STARVED_MS) {
         progress.put(entry.getKey(), new Progress(started, world.now()));
@@ -552,7 +552,7 @@
           world.machines.values().stream()
               .filter(other -> other != machine && other.shard.equals(machine.shard))
               .filter(other -> world.usable(other) && world.allows(spec, other))
-              .filter(other -> !spec.daemon() || other.images.contains(spec.bundle()))
+              .filter(other -> !spec.daemon() || other.warmth(spec.bundle()) == Machine.Warmth.WARM)
               .filter(
                   other ->
                       other.hall.equals(machine.hall)
--- a/src/main/java/dunlincroft/coordination/WorkerDesk.java
+++ b/src/main/java/dunlincroft/coordination/WorkerDesk.java
@@ -47,22 +47,25 @@
           fence);
       return null;
     }
-    // The worker has taken or dropped the answer before: it has one report out at a time.
-    machine.startsAnswered = false;
-    if (!read(machine, report)) {
+    if (!newer(machine, report)) {
       return Order.body(fence, List.of());
     }
+    // The worker has taken or dropped the answer before: it has one report out at a time. An older
+    // report that comes late says nothing about the answer to a newer one.
+    machine.startsAnswered = false;
+    read(machine, report);
     List<Order> orders = orders(machine, fence);
     machine.startsAnswered = orders.stream().anyMatch(order -> order.verb().equals(Wire.RUN));
     return Order.body(fence, orders);
   }
 
-  /** Takes a report in; false when it is older than one seen before. */
-  private boolean read(Machine machine, WorkerReport report) {
-    if (report.tenure() < machine.tenure
-        || (report.tenure() == machine.tenure && report.counter() <= machine.counter)) {
-      return false;
-    }
+  private static boolean newer(Machine machine, WorkerReport report) {
+    return report.tenure() > machine.tenure
+        || (report.tenure() == machine.tenure && report.counter() > machine.counter);
+  }
+
+  /** Takes a report in that is newer than those seen before. */
+  private void read(Machine machine, WorkerReport report) {
     if (!machine.reported) {
       LOG.info(
           "host {} ({} {} {}) reports to us",
@@ -116,7 +119,6 @@
     } else if (!machine.empty()) {
       machine.idleSince = -1;
     }
-    return true;
   }
 
   private void warned(Machine machine, double warningS) {
@@ -139,8 +141,12 @@
     p.sent = true;
     if (!piece.exited()) {
       if (started && piece.status().equals(Wire.RUNNING)) {
-        machine.images.add(p.job.spec.bundle());
+        machine.imageThere(p.job.spec.bundle());
+        p.runsSince = world.now();
         world.figures.started(p, world.now());
+      } else if (piece.status().equals(Wire.RUNNING)
+          && world.now() - p.runsSince > Constants.RAN_MS) {
+        ranWell(p);
       }
       return;
     }
@@ -151,10 +157,10 @@
     }
     String cause = piece.cause() == null ? "" : piece.cause();
     if (cause.equals(Wire.DONE) && !p.job.spec.daemon()) {
-      machine.images.add(p.job.spec.bundle());
+      machine.imageThere(p.job.spec.bundle());
       machine.failures = 0;
       machine.failedJobs.clear();
-      p.job.failures = 0;
+      ranWell(p);
       LOG.debug("{} try {} is done on host {}", p.piece(), p.attempt, machine.host);
       p.job.clear(p);
       p.job.finish(p.task);
@@ -170,26 +176,43 @@
     }
   }
 
+  private void ranWell(Placement p) {
+    if (p.job.ranWell()) {
+      LOG.info("job {} runs on host {}: it is not faulty", p.job.id, p.machine.host);
+      ledger.dirty(p.job, p.task, false);
+    }
+  }
+
+  /**
+   * Is it the machine or the job? A job that ran elsewhere speaks against the machine with each of
+   * its tasks. One that has not run yet may fail everywhere, many tasks at once: all of them say no
+   * more than one, and only so many such jobs together speak against the machine.
+   */
   private void failed(Machine machine, Placement p) {
     JobRun job = p.job;
-    job.failures++;
-    job.everFailed = true;
-    job.retryAtMs =
-        world.now()
-            + (job.failures < Constants.JOB_FAULTY_AFTER
-                ? 0
-                : Math.min(
-                    Constants.JOB_RETRY_MAX_MS,
-                    Constants.JOB_RETRY_MS
-                        << Math.min(10, job.failures - Constants.JOB_FAULTY_AFTER)));
-    // A job that fails wherever it goes says nothing about the machine.
-    if (job.failures < Constants.JOB_FAULTY_AFTER) {
+    boolean wasFaulty = job.faulty;
+    if (job.failed(machine.host, world.now())) {
       machine.failures++;
+    }
+    if (job.faulty) {
+      machine.failedJobs.remove(job.id);
+    } else {
       machine.failedJobs.add(job.id);
     }
-    if (machine.failures >= Constants.SICK_AFTER && machine.draining == null && sickAllowed()) {
+    if (job.faulty && !wasFaulty) {
       LOG.info(
-          "host {} failed {} tasks in a row of {} jobs: taken for sick, draining",
+          "job {} has failed on {} machines and run on none: one task at a time from here on",
+          job.id,
+          Constants.JOB_FAULTY_AFTER);
+      world.machines.values().forEach(other -> other.failedJobs.remove(job.id));
+    }
+    boolean sick =
+        machine.failures >= Constants.SICK_AFTER
+            || machine.failedJobs.size() >= Constants.SICK_AFTER;
+    if (sick && machine.draining == null && sickAllowed()) {
+      LOG.info(
+          "host {} failed {} tasks of jobs that ran elsewhere, and {} jobs in all, in a row: taken"
+              + " for sick, draining",
           machine.host,
           machine.failures,
           machine.failedJobs.size());
@@ -324,7 +347,10 @@
       machine.pushAgain = true;
       return;
     }
-    if (!machine.reported || machine.unresolvedFence != 0 || machine.endpoint == null) {
+    // One that did not answer is left to its hellos until it is heard again.
+    if (!machine.reported
+        || machine.lastHeard <= machine.unansweredAt
+        || machine.endpoint == null) {
       return;
     }
     long fence = world.fence(machine);
@@ -347,6 +373,7 @@
     if (reply.status() != 200 && reply.status() != 409) {
       // It may be executed minutes from now, as long as the fence stays.
       machine.unresolvedFence = Math.max(fence, machine.unresolvedFence);
+      machine.unansweredAt = world.now();
       LOG.info("host {} did not answer direct orders ({})", machine.host, reply.status());
       return;
     }
@@ -376,7 +403,9 @@
       if (!report.host().equals(machine.host) || report.fence() > world.fence(machine)) {
         return false;
       }
-      read(machine, report);
+      if (newer(machine, report)) {
+        read(machine, report);
+      }
       return true;
     } catch (Malformed e) {
       LOG.info("host {} answered with a malformed report: {}", machine.host, e.getMessage());
--- a/src/main/java/dunlincroft/coordination/World.java
+++ b/src/main/java/dunlincroft/coordination/World.java
@@ -275,6 +275,13 @@
     return (long) (settings.reportS() * number * 1000);
   }
 
+  /** Time in which we could not hear anybody counts for no machine's silence. */
+  void stoodStill(long ms) {
+    machines
+        .values()
+        .forEach(machine -> machine.lastHeard = Math.min(now(), machine.lastHeard + ms));
+  }
+
   boolean usable(Machine machine) {
     return machine.usable(now(), reports(Constants.SUSPECT_REPORTS));
   }
--- a/src/main/java/dunlincroft/protocol/TaskState.java
+++ b/src/main/java/dunlincroft/protocol/TaskState.java
@@ -10,9 +10,11 @@
 
 /**
  * The recorded state of some of a job's tasks: those done, those that wait again, and for every
- * task that may be on a machine its host and try. Runs of tasks are written as ranges.
+ * task that may be on a machine its host and try. Runs of tasks are written as ranges. {@code
+ * faulty}: all that was tried of the job failed, on several machines; so a new holder knows it,
+ * too.
  */
-public record TaskState(BitSet done, BitSet waiting, List<Place> places) {
+public record TaskState(BitSet done, BitSet waiting, List<Place> places, boolean faulty) {
   /** A task that may be on {@code host} as {@code attempt}. */
   public record Place(int task, String host, long attempt) {}
 
@@ -32,7 +34,7 @@
     }
   }
 
-  /** Reads the fields {@code done}, {@code free} and {@code at} of a record. */
+  /** Reads the fields {@code done}, {@code free}, {@code at} and {@code faulty} of a record. */
   static TaskState parse(JsonNode map) throws Malformed {
     List<Place> places = new ArrayList<>();
     for (JsonNode group : Fields.list(map, "at")) {
@@ -45,12 +47,16 @@
       }
     }
     BitSet waiting = map.has("free") ? parseRanges(Fields.list(map, "free")) : new BitSet();
-    return new TaskState(parseRanges(Fields.list(map, "done")), waiting, places);
+    boolean faulty = map.has("faulty") && Fields.flag(map, "faulty");
+    return new TaskState(parseRanges(Fields.list(map, "done")), waiting, places, faulty);
   }
 
   /** Tasks of one host and try share a group, so that a batch started together stays small. */
   void write(ObjectNode map) {
     writeRanges(done, map.putArray("done"));
+    if (faulty) {
+      map.put("faulty", true);
+    }
     if (!waiting.isEmpty()) {
       writeRanges(waiting, map.putArray("free"));
     }
--- a/src/main/java/dunlincroft/transport/PeerLink.java
+++ b/src/main/java/dunlincroft/transport/PeerLink.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -61,12 +62,19 @@
             out.writeLong(beat.stateSilentMs());
             out.writeDouble(beat.requests());
             out.writeDouble(beat.writes());
+            out.writeInt(beat.unheard().size());
+            beat.unheard().forEach(out::writeString);
           }
 
           @Override
           public Beat read(Kryo k, Input in, Class<? extends Beat> type) {
             return new Beat(
-                in.readString(), in.readLong(), in.readLong(), in.readDouble(), in.readDouble());
+                in.readString(),
+                in.readLong(),
+                in.readLong(),
+                in.readDouble(),
+                in.readDouble(),
+                Stream.generate(in::readString).limit(in.readInt()).toList());
           }
         },
         10);
--- a/src/test/java/dunlincroft/SettingsTest.java
+++ b/src/test/java/dunlincroft/SettingsTest.java
@@ -39,6 +39,7 @@
         "\"lease_s\":20.0 | \"lease_s\":0 | deployment.workers.lease_s",
         "\"rps\":200.0 | \"rps\":\"x\" | deployment.state.rps",
         "\"listen\":\"10.0.0.1:8080\" | \"listen\":\"here:80\" | listen",
+        "\"txn_ops\":8 | \"txn_ops\":1 | deployment.state.txn_ops",
         "\"name\":\"red\" | \"nome\":\"red\" | deployment.teams.name",
         "\"endpoints\" | \"ends\" | endpoints",
         "\"address\":\"10.0.0.2:8081\" | \"address\":7 | others.address"
--- a/src/test/java/dunlincroft/bookkeeping/JobIndexTest.java
+++ b/src/test/java/dunlincroft/bookkeeping/JobIndexTest.java
@@ -87,7 +87,7 @@
         slot = Cbor.map().putArray("log");
         slots = (slots + 37) % 101; // By name a later slot may stand before an earlier one.
       }
-      slot.add(new LogRecord.Entry(number, ref, new TaskState(done, free, places)).toNode());
+      slot.add(new LogRecord.Entry(number, ref, new TaskState(done, free, places, false)).toNode());
       ObjectNode data = Cbor.map();
       data.set("log", slot.deepCopy());
       put(Replica.LOGS, JobIndex.slotName("s", slots), data);
@@ -113,7 +113,7 @@
                   places.add(new TaskState.Place(at, parts[0], Long.parseLong(parts[1])));
                 }
               });
-      PageRecord record = new PageRecord(new TaskState(done, new BitSet(), places), number);
+      PageRecord record = new PageRecord(new TaskState(done, new BitSet(), places, false), number);
       put(Replica.PAGES, JobIndex.pageName(ref, page), record.toNode());
     }
   }
--- a/src/test/java/dunlincroft/bookkeeping/ReplicaTest.java
+++ b/src/test/java/dunlincroft/bookkeeping/ReplicaTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 
 class ReplicaTest {
   private record Change(String name, boolean put, long stamp) {}
@@ -33,6 +34,17 @@
     assertThat(mixed.kind("jobs")).containsExactlyInAnyOrderEntriesOf(ordered.kind("jobs"));
   }
 
+  /** The end stands in the place of the description, and nothing older brings the job back. */
+  @Test
+  void aJobThatHasEndedStaysEnded() {
+    Replica replica = new Replica();
+    replica.put("d/jobs/run-1", Cbor.map().put("pieces", 1), 3);
+    replica.put("d/jobs/run-1", Cbor.map().put("status", "done"), 7);
+    replica.put("d/jobs/run-1", Cbor.map().put("pieces", 1), 3);
+    assertThat(replica.kind(Replica.JOBS)).isEmpty();
+    assertThat(replica.stamp(Replica.ENDED, "run-1")).isEqualTo(7);
+  }
+
   private static void apply(Replica replica, Change change) {
     String key = Wire.key("jobs", change.name);
     if (change.put) {
--- a/src/test/java/dunlincroft/bookkeeping/StateStoreTest.java
+++ b/src/test/java/dunlincroft/bookkeeping/StateStoreTest.java
@@ -21,6 +21,7 @@
     private final List<Runnable> due = new ArrayList<>();
     private long now = 10_000;
     private int status;
+    private byte[] body = new byte[0];
     private int calls;
 
     @Override
@@ -49,7 +50,7 @@
     public void call(Call call, Consumer<Reply> then) {
       calls++;
       if (status != 0) {
-        then.accept(new Reply(status, new byte[0]));
+        then.accept(new Reply(status, body));
       }
     }
 
@@ -61,8 +62,8 @@
   }
 
   private final Desk desk = new Desk();
-  private final StateStore store =
-      new StateStore(desk, "10.0.0.1:1", 1000, WRITE_RPS, new Replica());
+  private final Replica replica = new Replica();
+  private final StateStore store = new StateStore(desk, "10.0.0.1:1", 1000, WRITE_RPS, replica);
   private int refused;
 
   private void accept(int number) {
@@ -91,6 +92,20 @@
     assertThat(store.retryAfterS()).isBetween(4, 6);
   }
 
+  /**
+   * The answer to an acceptance lay in its socket while the process stood still; the feed has shown
+   * since that the job was cancelled and ended. Taken in after that, it would be run again.
+   */
+  @Test
+  void anAnswerOlderThanTheFeedChangesNothing() {
+    desk.status = 200;
+    desk.body = Cbor.bytes(Cbor.map().put("epoch", 12));
+    replica.epoch(40);
+    accept(1);
+    assertThat(refused).isZero();
+    assertThat(replica.kind(Replica.JOBS)).isEmpty();
+  }
+
   /** The service's 429 carries nothing out: the call is asked again, not given up. */
   @Test
   void whatIsOverTheRateIsAskedAgain() {
--- a/src/test/java/dunlincroft/protocol/CodecTest.java
+++ b/src/test/java/dunlincroft/protocol/CodecTest.java
@@ -77,12 +77,14 @@
                 task, String.format("host-%06d", random.nextInt(1_000_000)), attempt));
       }
     }
+    boolean faulty = random.nextBoolean();
     PageRecord page =
-        new PageRecord(new TaskState(done, new BitSet(), places), random.nextInt(99_999));
+        new PageRecord(new TaskState(done, new BitSet(), places, faulty), random.nextInt(99_999));
     PageRecord record = PageRecord.parse(Cbor.parse(Cbor.bytes(page.toNode())));
     assertThat(record.upTo()).isEqualTo(page.upTo());
     TaskState back = record.state();
     assertThat(back.done()).isEqualTo(done);
+    assertThat(back.faulty()).isEqualTo(faulty);
     Set<TaskState.Place> same = new HashSet<>(places);
     assertThat(new HashSet<>(back.places())).isEqualTo(same);
     assertThat(page.toNode().toString().length()).isLessThan(4096);
--- a/src/test/java/dunlincroft/sim/Checks.java
+++ b/src/test/java/dunlincroft/sim/Checks.java
@@ -108,6 +108,7 @@
   /** A job's tasks are recorded on machines of its own shard alone: whoever takes it finds them. */
   private void records() {
     Map<String, JsonNode> jobs = cluster.state.under("d/jobs/");
+    jobs.values().removeIf(job -> job.has("status"));
     Map<String, JsonNode> shards = new HashMap<>();
     cluster
         .state
--- a/src/test/java/dunlincroft/sim/SimCluster.java
+++ b/src/test/java/dunlincroft/sim/SimCluster.java
@@ -98,7 +98,8 @@
           "objectives":[{"kind":"finished","class":"copy","within_s":100.0,"share":0.85}],
           "workers":{"report_s":2.0,"lease_s":20.0,"cancel_s":45.0},
           "state":{"rps":200.0,"write_rps":%s,"value_kb":%s,"txn_ops":%d},
-          "cloud":{"rps":10.0,"list_lag_s":5.0}}}
+          "cloud":{"rps":10.0,"list_lag_s":5.0},
+          "machine_limits":{"memory_mb":12.0}}}
         """
         .formatted(
             node,
--- a/src/test/java/dunlincroft/transport/LoopbackTest.java
+++ b/src/test/java/dunlincroft/transport/LoopbackTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
@@ -56,7 +57,8 @@
   void beatsSurviveTheLink(
       @ForAll @AlphaChars String node, @ForAll long incarnation, @ForAll long silent) {
     PeerLink link = new PeerLink(env, () -> null, beat -> {});
-    Beat beat = new Beat(node, incarnation, silent, silent / 3.0, incarnation / 7.0);
+    List<String> unheard = silent % 2 == 0 ? List.of() : List.of(node, "other");
+    Beat beat = new Beat(node, incarnation, silent, silent / 3.0, incarnation / 7.0, unheard);
     assertThat(link.decode(link.encode(beat))).isEqualTo(beat);
   }
 }
