--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -291,8 +291,11 @@
   /** Milliseconds. Pause before a type, zone and kind that refused is asked again. */
   public static final long REFUSED_MS = 12_000;
 
-  /** Fraction. The leader's part of the cloud's rate: it rents, the others only release. */
-  public static final double CLOUD_LEADER_PART = 0.7;
+  /** Fraction. The part of the cloud's rate of a leader that holds all machines: it does all. */
+  public static final double CLOUD_ALL_PART = 0.9;
+
+  /** Fraction. The part of a leader that does not, and of all holders of machines beside it. */
+  public static final double CLOUD_HALF_PART = 0.5;
 
   /** Milliseconds. A task that ran so long may move: a start stopped earlier did not count. */
   public static final long MOVE_AFTER_MS = 31_000;
@@ -336,6 +339,12 @@
   /** Seconds. Pace at which the counted need follows a rise; a short burst rents little. */
   public static final double NEED_RISE_S = 4;
 
+  /** Factor. A need that grows by so much is no short burst: each second counts when it rises. */
+  public static final double NEED_JUMP = 1.5;
+
+  /** Seconds. Pace at which the counted need follows such a rise. */
+  public static final double NEED_JUMP_S = 1;
+
   /** Seconds. Pace at which the counted need follows a fall; machines cost 60 s at least. */
   public static final double NEED_FALL_S = 12;
 
--- a/src/main/java/dunlincroft/bookkeeping/StateStore.java
+++ b/src/main/java/dunlincroft/bookkeeping/StateStore.java
@@ -33,9 +33,9 @@
     READ,
     FINISH,
     CANCEL,
+    START,
     ACCEPT_PROD,
     ACCEPT,
-    START,
     LAZY
   }
 
--- a/src/main/java/dunlincroft/coordination/Demand.java
+++ b/src/main/java/dunlincroft/coordination/Demand.java
@@ -47,7 +47,10 @@
   }
 
   private static double approach(double from, double to, double seconds) {
-    double pace = to > from ? Constants.NEED_RISE_S : Constants.NEED_FALL_S;
+    double pace =
+        to > from * Constants.NEED_JUMP
+            ? Constants.NEED_JUMP_S
+            : to > from ? Constants.NEED_RISE_S : Constants.NEED_FALL_S;
     return to + (from - to) * Math.exp(-seconds / pace);
   }
 
--- a/src/main/java/dunlincroft/coordination/Ledger.java
+++ b/src/main/java/dunlincroft/coordination/Ledger.java
@@ -97,13 +97,17 @@
       if (log.busy) {
         continue;
       }
-      boolean prod = news.stream().anyMatch(job -> job.urgent && prod(job));
-      if (prod || news.stream().anyMatch(job -> now >= dueAt(job, due))) {
+      boolean free = world.store.writesFree() > 0;
+      boolean starts =
+          news.stream()
+              .anyMatch(job -> job.urgent && (now >= dueAt(job, due) || (free && prod(job))));
+      // One change starts many tasks: starts go on, at their pace, whatever else wants the budget.
+      if (starts || news.stream().anyMatch(job -> now >= dueAt(job, due))) {
         backlog++;
-        if (prod || world.store.writesFree() > 0) {
+        if (starts || free) {
           write(log, news, now);
         }
-      } else if (world.store.writesFree() > 0) {
+      } else if (free) {
         save(log);
       }
     }
--- a/src/main/java/dunlincroft/coordination/Scheduler.java
+++ b/src/main/java/dunlincroft/coordination/Scheduler.java
@@ -236,14 +236,16 @@
 
   /**
    * A walk by how soon the image can be there; within each, the ring's order. Fetches of several
-   * images share a machine's rate: one that fetches already is passed for one that does not.
+   * images share a machine's rate, so that all of them are late: one that fetches already is passed
+   * for one that does not, and only services begin a second fetch where there is no other room.
    */
   private static Collection<List<Machine>> byWarmth(JobRun job, List<Machine> walk) {
     Map<Warmth, List<Machine>> groups = new EnumMap<>(Warmth.class);
     for (Machine machine : walk) {
-      groups
-          .computeIfAbsent(machine.warmth(job.spec.bundle()), w -> new ArrayList<>())
-          .add(machine);
+      Warmth warmth = machine.warmth(job.spec.bundle());
+      if (warmth != Warmth.CROWDED || job.spec.rank() == Rank.PROD) {
+        groups.computeIfAbsent(warmth, w -> new ArrayList<>()).add(machine);
+      }
     }
     return groups.values();
   }
@@ -409,6 +411,10 @@
       Set<String> within,
       long now,
       List<Eviction> into) {
+    Warmth warmth = machine.warmth(job.spec.bundle());
+    if (warmth == Warmth.CROWDED && job.spec.rank() != Rank.PROD) {
+      return 0;
+    }
     Room room = job.spec.room();
     Room free = freeFor(job, machine);
     List<Placement> victims = new ArrayList<>();
@@ -429,14 +435,14 @@
             .thenComparingLong(p -> lost(p, now)));
     free = free.minus(room.times(coming));
     List<Placement> together = new ArrayList<>();
-    boolean warm = machine.warmth(job.spec.bundle()) == Warmth.WARM;
     long lost = 0;
     for (Placement p : victims) {
       together.add(p);
       lost += lost(p, now);
       free = free.plus(p.job.spec.room());
       if (room.fits(free)) {
-        into.add(new Eviction(List.copyOf(together), p.job.spec.rank(), warm, lost));
+        into.add(
+            new Eviction(List.copyOf(together), p.job.spec.rank(), warmth == Warmth.WARM, lost));
         free = free.minus(room);
         together.clear();
       }
--- a/src/main/java/dunlincroft/coordination/Supply.java
+++ b/src/main/java/dunlincroft/coordination/Supply.java
@@ -114,7 +114,6 @@
   // ---- the leader ----
 
   void leaderTick() {
-    cloud.rate(world.settings.cloudRps() * Constants.CLOUD_LEADER_PART);
     adoption.tick();
     recordShares();
     listTick();
@@ -444,10 +443,7 @@
   private static final String SURPLUS = "surplus";
 
   void holderTick() {
-    if (!members.leads()) {
-      double others = (1 - Constants.CLOUD_LEADER_PART) / Math.max(1, members.names().size() - 1);
-      cloud.rate(world.settings.cloudRps() * others);
-    }
+    cloud.rate(world.settings.cloudRps() * cloudPart());
     if (world.feed.silentMs() > Constants.STALE_MS || world.held.isEmpty()) {
       return;
     }
@@ -481,6 +477,21 @@
     world.machines.values().stream().filter(m -> SURPLUS.equals(m.draining)).forEach(this::clear);
   }
 
+  /**
+   * Our part of the cloud's rate. Who has just taken machines over and does not lead yet must look
+   * up where they are at once; controllers without machines want next to nothing.
+   */
+  private double cloudPart() {
+    List<String> holders = members.leaseHolders();
+    long ours = holders.stream().filter(world::holds).count();
+    if (members.leads()) {
+      return ours == holders.size() ? Constants.CLOUD_ALL_PART : Constants.CLOUD_HALF_PART;
+    }
+    return ours > 0
+        ? Constants.CLOUD_HALF_PART * ours / holders.size()
+        : (1 - Constants.CLOUD_ALL_PART) / members.names().size();
+  }
+
   /**
    * The last tasks on a machine that is not needed move if all of them lose next to nothing: they
    * run for minutes, and each keeps a machine that is paid for whole.
--- a/src/test/java/dunlincroft/sim/Checks.java
+++ b/src/test/java/dunlincroft/sim/Checks.java
@@ -26,6 +26,9 @@
   private final Map<String, Long> acceptedAt = new HashMap<>();
   int starts;
 
+  /** Tries of tasks that can only fail. */
+  int brokenTries;
+
   Checks(SimCluster cluster) {
     this.cluster = cluster;
   }
