--- /dev/null
+++ b/src/main/java/dunlincroft/coordination/Releases.java
@@ -0,0 +1,195 @@
+package dunlincroft.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dunlincroft.Constants;
+import dunlincroft.bookkeeping.BlockIndex;
+import dunlincroft.bookkeeping.Replica;
+import dunlincroft.bookkeeping.StateStore.Urgency;
+import dunlincroft.bookkeeping.Txn;
+import dunlincroft.protocol.BlockRecord;
+import dunlincroft.protocol.Cbor;
+import dunlincroft.protocol.Wire;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A shard's holder returns machines that are dead, sick, noticed, late or empty and not needed. A
+ * release answered 200 is the proof that lets tasks move.
+ */
+final class Releases {
+  private static final Logger LOG = LoggerFactory.getLogger(Releases.class);
+
+  private final World world;
+  private final WorkerDesk desk;
+  private final Cloud cloud;
+  private final Adoption adoption;
+  private final Clearing clearing;
+  private final Set<String> recording = new HashSet<>();
+  private boolean releasing;
+  private final long suspectMs;
+
+  Releases(World world, WorkerDesk desk, Cloud cloud, Adoption adoption, Clearing clearing) {
+    this.world = world;
+    this.desk = desk;
+    this.cloud = cloud;
+    this.adoption = adoption;
+    this.clearing = clearing;
+    this.suspectMs = world.reports(Constants.SUSPECT_REPORTS);
+  }
+
+  void tick() {
+    recordReleased();
+    if (!releasing) {
+      look(world.now());
+    }
+  }
+
+  private void look(long now) {
+    int heard = 0;
+    int silent = 0;
+    for (Machine machine : world.machines.values()) {
+      if (machine.reported && now - machine.lastHeard < suspectMs) {
+        heard++;
+      } else if (machine.reported || !machine.placed.isEmpty()) {
+        silent++;
+      }
+    }
+    // Many silent at once: rather a cut zone, or a fault of ours, than so many dead machines.
+    boolean many = silent > 2 && silent * 3 > heard + silent;
+    List<Machine> release = new ArrayList<>();
+    for (Machine machine : world.machines.values()) {
+      String why = whyRelease(machine, now, many, heard);
+      if (why != null && !machine.releasing && release.size() < Constants.MAX_RELEASE) {
+        LOG.info(
+            "host {} is released: {}; {} tasks on it", machine.host, why, machine.placed.size());
+        world.figures.count(Figures.Event.RELEASE);
+        release.add(machine);
+      }
+    }
+    if (!release.isEmpty()) {
+      release(release);
+    }
+  }
+
+  private String whyRelease(Machine machine, long now, boolean many, int heard) {
+    long silent = now - machine.lastHeard;
+    if (machine.blockStamp == 0) {
+      return "no block names it";
+    }
+    if ("failed".equals(machine.draining)) {
+      return "failed";
+    }
+    if (machine.draining != null && machine.empty() && machine.reported) {
+      return machine.draining.equals(Clearing.SURPLUS) && !clearing.paid(machine)
+          ? null
+          : machine.draining;
+    }
+    if (silent > suspectMs) {
+      if (machine.reported && !machine.suspected) {
+        machine.suspected = true;
+        world.figures.count(Figures.Event.SUSPECT);
+        LOG.info("host {} is suspected: silent for {} ms, asked directly", machine.host, silent);
+      }
+      desk.probe(machine);
+    }
+    if (machine.reported || !machine.placed.isEmpty()) {
+      long most = world.reports(many ? Constants.DEAD_MANY_REPORTS : Constants.DEAD_REPORTS);
+      return silent > most && heard > 0 ? "silent for " + silent + " ms" : null;
+    }
+    double startup = machine.type == null ? 60 : machine.type.startupS();
+    double boot = startup * 1000 * Constants.BOOT_FACTOR + Constants.BOOT_EXTRA_MS;
+    boolean late =
+        world.env.wallMillis() - machine.hiredAtWall > boot && silent > Constants.BOOT_EXTRA_MS;
+    return late ? "never came up" : null;
+  }
+
+  private void release(List<Machine> machines) {
+    releasing = true;
+    ObjectNode body = Cbor.map();
+    for (Machine machine : machines) {
+      machine.releasing = true;
+      machine.draining = machine.draining == null ? "released" : machine.draining;
+      body.withArray("hosts").add(machine.host);
+      adoption.gone(machine.host);
+    }
+    cloud.call(
+        true,
+        "POST",
+        Wire.RELEASE,
+        body,
+        (status, answer) -> {
+          releasing = false;
+          for (Machine machine : machines) {
+            if (status == 200) {
+              released(machine); // It stays unusable until its block shows it no longer.
+            } else {
+              machine.releasing = false;
+            }
+          }
+          recordReleased();
+          if (status != 200) {
+            LOG.info("release of {} machines not carried out: {}", machines.size(), status);
+          }
+        });
+  }
+
+  /** The cloud's word: the machine and all that was on it are gone. */
+  private void released(Machine machine) {
+    if (machine.dropped) {
+      return;
+    }
+    for (Placement p : List.copyOf(machine.placed.values())) {
+      desk.clear(p, "released");
+    }
+    machine.released = machine.blockStamp > 0 && world.blocks.of(machine.host) != null;
+    if (!machine.released) {
+      world.forget(machine);
+    }
+  }
+
+  /**
+   * Takes released machines out of their blocks: a change for each block, however many they are.
+   */
+  private void recordReleased() {
+    Map<BlockIndex.Block, List<String>> gone = new LinkedHashMap<>();
+    for (Machine machine : world.machines.values()) {
+      BlockIndex.Block block = machine.released ? world.blocks.of(machine.host) : null;
+      if (block != null && !recording.contains(block.name())) {
+        gone.computeIfAbsent(block, b -> new ArrayList<>()).add(machine.host);
+      }
+    }
+    gone.forEach(
+        (block, hosts) -> {
+          String shard = block.record().shard();
+          String key = Wire.key(Replica.BLOCKS, block.name());
+          BlockRecord left = block.record().without(hosts);
+          Txn txn =
+              new Txn()
+                  .guard(Wire.key(Replica.SHARDS, shard), world.held.getLong(shard))
+                  .guard(key, block.stamp());
+          if (left.hosts().isEmpty()) {
+            txn.remove(key);
+          } else {
+            txn.put(key, left.toNode());
+          }
+          recording.add(block.name());
+          world.store.commit(
+              Urgency.HANDS,
+              txn,
+              result -> {
+                recording.remove(block.name());
+                LOG.debug(
+                    "{} released machines leave block {}: {}",
+                    hosts.size(),
+                    block.name(),
+                    result.outcome());
+              });
+        });
+  }
+}
--- a/src/test/java/dunlincroft/sim/RulesTest.java
+++ b/src/test/java/dunlincroft/sim/RulesTest.java
@@ -88,7 +88,8 @@
     }
   }
 
-  private static JobSpec simple(String ref, String team, int pieces, double cpus) {
+  /** A batch job without wishes. */
+  static JobSpec simple(String ref, String team, int pieces, double cpus) {
     try {
       return JobSpec.parse(
           Cbor.map()
--- a/src/test/java/dunlincroft/sim/SimCloud.java
+++ b/src/test/java/dunlincroft/sim/SimCloud.java
@@ -6,7 +6,9 @@
 import dunlincroft.protocol.Cbor;
 import dunlincroft.protocol.Room;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** A stand-in for the cloud: rents machines whose workers boot, lists them, takes them back. */
@@ -18,6 +20,18 @@
   private int next;
   int most = 14;
 
+  /** Zones that have no machines to rent. */
+  final Set<String> refused = new HashSet<>();
+
+  /** Machines that stopped on their own. */
+  final Set<String> failed = new HashSet<>();
+
+  /** Time until a rental is answered; the machines are there before. */
+  long answerMs;
+
+  /** Machines released so far. */
+  int released;
+
   /** What a rented machine takes to boot; one in ten never comes up while this is long. */
   long bootMs = 2000;
 
@@ -53,13 +67,17 @@
       for (JsonNode host : body.path("hosts")) {
         SimWorker worker = machines.remove(host.asText());
         if (worker != null) {
+          released++;
           tasksReleased += worker.tasks.values().stream().filter(SimWorker.Task::on).count();
           worker.die();
         }
       }
       out.send(200, Cbor.map());
+    } else if (method.equals("POST") && refused.contains(body.path("hall").asText())) {
+      out.send(503, Cbor.map().put("error", "no capacity"));
     } else if (method.equals("POST")) {
-      out.send(200, hire(body, out));
+      ObjectNode answer = hire(body);
+      cluster.clock.after(answerMs, () -> out.send(200, answer));
     } else {
       ObjectNode answer = Cbor.map().put("hasNext", false);
       ArrayNode hosts = answer.putArray("hosts");
@@ -72,13 +90,13 @@
                   .put("flavour", SimCluster.TYPE)
                   .put("hall", worker.hall)
                   .put("lendable", worker.cheap)
-                  .put("status", "running")
+                  .put("status", failed.contains(host) ? "failed" : "running")
                   .put("heldS", (cluster.clock.now() - rentedAt.get(host)) / 1000.0));
       out.send(200, answer);
     }
   }
 
-  private ObjectNode hire(ObjectNode body, SimNet.Answer out) {
+  private ObjectNode hire(ObjectNode body) {
     return hires.computeIfAbsent(
         body.path("hire").asText(),
         name -> {
--- /dev/null
+++ b/src/test/java/dunlincroft/sim/SupplyTest.java
@@ -0,0 +1,123 @@
+package dunlincroft.sim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dunlincroft.operators.Policy;
+import dunlincroft.protocol.Malformed;
+import dunlincroft.sim.SimCluster.Size;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Renting, returning, clearing and the machine list, with the cloud's troubles. */
+class SupplyTest {
+  private SimCluster cluster;
+  private SimCloud cloud;
+
+  @BeforeEach
+  void fiveMachines() throws Malformed {
+    cluster = new SimCluster(11, Policy.PRESET, Size.SMALL);
+    cloud = cluster.cloud;
+  }
+
+  private void work(long atMs, int pieces) {
+    String ref = "run-w" + atMs;
+    cluster.clock.after(atMs, () -> cluster.user(RulesTest.simple(ref, "blue", pieces, 2), 0));
+  }
+
+  private void rulesHold() {
+    assertThat(cluster.checks.broken).isEmpty();
+    assertThat(cluster.checks.toldFinal).hasSize(cluster.jobs());
+  }
+
+  /** Hosts of all recorded blocks; Checks sees to it that none stands in two. */
+  private List<String> leased() {
+    List<String> hosts = new ArrayList<>();
+    for (JsonNode block : cluster.state.under("d/blocks/").values()) {
+      block.path("hosts").fieldNames().forEachRemaining(hosts::add);
+    }
+    return hosts;
+  }
+
+  @Test
+  void whatOneZoneRefusesIsRentedInOthers() {
+    cloud.refused.addAll(List.of("a", "c"));
+    work(5000, 90);
+    cluster.clock.runUntil(20_000);
+    assertThat(cloud.machines).hasSizeGreaterThan(8);
+    assertThat(cloud.machines.values().stream().skip(5))
+        .allMatch(worker -> worker.hall.equals("b"));
+    cluster.clock.runUntil(120_000);
+    rulesHold();
+  }
+
+  /** Up within a second, while the answer to the rental takes three: leased once, rented once. */
+  @Test
+  void workersThatReportBeforeTheRentalIsAnsweredAreLeasedOnce() {
+    cloud.bootMs = 0;
+    cloud.answerMs = 3000;
+    cloud.most = 40;
+    work(5000, 60);
+    cluster.clock.runUntil(20_000);
+    assertThat(leased()).doesNotHaveDuplicates().hasSameSizeAs(cloud.machines.keySet());
+    assertThat(cloud.machines).hasSizeBetween(7, 16);
+    cluster.clock.runUntil(120_000);
+    rulesHold();
+  }
+
+  @Test
+  void machinesThatNeverComeUpAreReplacedAndReturned() {
+    cloud.bootMs = Long.MAX_VALUE / 4;
+    work(5000, 60);
+    cluster.clock.runUntil(15_000);
+    int late = cloud.machines.size() - 5;
+    assertThat(late).isPositive();
+    cloud.bootMs = 2000;
+    cluster.clock.runUntil(150_000);
+    assertThat(cloud.released).isGreaterThanOrEqualTo(late);
+    rulesHold();
+  }
+
+  @Test
+  void machinesAreReturnedOnceTheirWorkIsOver() {
+    work(5000, 90);
+    cluster.clock.runUntil(30_000);
+    int most = cloud.machines.size();
+    assertThat(most).isGreaterThan(8);
+    cluster.clock.runUntil(55_000);
+    assertThat(cloud.released).as("paid for a minute all the same").isZero();
+    cluster.clock.runUntil(180_000);
+    assertThat(cloud.machines.size()).isLessThan(most - 3);
+    assertThat(cloud.tasksReleased).isZero();
+    rulesHold();
+  }
+
+  @Test
+  void aMachineListedAsFailedIsReturnedAndAnUnexpectedOneLeased() {
+    cluster.clock.runUntil(10_000);
+    SimWorker lost = cloud.machines.firstEntry().getValue();
+    SimWorker unexpected = cloud.rent("b", true);
+    work(10_000, 40);
+    cluster.clock.runUntil(14_000);
+    cloud.failed.add(lost.host);
+    lost.hang(1_000_000);
+    cluster.clock.runUntil(30_000);
+    assertThat(leased()).contains(unexpected.host).doesNotContain(lost.host);
+    cluster.clock.runUntil(120_000);
+    rulesHold();
+  }
+
+  /** A third of the machines silent at once: rather a fault of ours than theirs. */
+  @Test
+  void manySilentMachinesAreNotReturnedAtOnce() {
+    work(1000, 40);
+    cluster.clock.runUntil(10_000);
+    cloud.machines.values().forEach(worker -> worker.hang(12_000));
+    cluster.clock.runUntil(24_000);
+    assertThat(cloud.tasksReleased).isZero();
+    cluster.clock.runUntil(150_000);
+    rulesHold();
+  }
+}
