--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -356,6 +356,18 @@
   /** Milliseconds. A submission that would wait longer for budget is refused at once. */
   public static final long ANSWER_MS = 400;
 
+  /** Milliseconds. The same for a team that floods us: the others' come in between. */
+  public static final long FLOOD_ANSWER_MS = 250;
+
+  /** Factor on the mean of the teams that submit, above which a team floods us. */
+  public static final double FLOOD_FACTOR = 2;
+
+  /** Seconds. Pace at which submissions are forgotten. */
+  public static final double FLOOD_S = 10;
+
+  /** Submissions. A team with less than this left counts as one that submits nothing. */
+  public static final double FLOOD_LEAST = 0.1;
+
   /** Seconds. What a refused user is told to wait at the most: longer is not obeyed. */
   public static final int RETRY_AFTER_MOST_S = 30;
 
--- a/src/main/java/dunlincroft/bookkeeping/StateStore.java
+++ b/src/main/java/dunlincroft/bookkeeping/StateStore.java
@@ -180,9 +180,20 @@
       int puts,
       long timeoutMs,
       Consumer<Answer> then) {
+    submit(urgency, method, path, body, puts, timeoutMs, Constants.BUDGET_WAIT_MS, then);
+  }
+
+  private void submit(
+      Urgency urgency,
+      String method,
+      String path,
+      ObjectNode body,
+      int puts,
+      long timeoutMs,
+      long patience,
+      Consumer<Answer> then) {
     long now = env.nowMillis();
     boolean user = urgency == Urgency.ACCEPT_PROD || urgency == Urgency.ACCEPT;
-    long patience = user ? Constants.ANSWER_MS : Constants.BUDGET_WAIT_MS;
     if (user && waitS(urgency, puts) * 1000 > patience) {
       // A user who cannot be served in time is told so now, not when the time is over.
       refused++;
@@ -279,6 +290,11 @@
 
   /** Commits; on success the replica shows the changes before {@code then} runs. */
   public void commit(Urgency urgency, Txn txn, Consumer<Txn.Result> then) {
+    commit(urgency, txn, Constants.BUDGET_WAIT_MS, then);
+  }
+
+  /** The same, given up when it would wait longer for budget. */
+  public void commit(Urgency urgency, Txn txn, long patienceMs, Consumer<Txn.Result> then) {
     submit(
         urgency,
         "POST",
@@ -286,6 +302,7 @@
         txn.toNode(),
         txn.size(),
         Constants.STATE_CALL_MS,
+        patienceMs,
         answer -> then.accept(result(txn, answer)));
   }
 
--- a/src/main/java/dunlincroft/coordination/JobDesk.java
+++ b/src/main/java/dunlincroft/coordination/JobDesk.java
@@ -8,6 +8,7 @@
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.Replica.Item;
 import dunlincroft.bookkeeping.StateStore.Urgency;
+import dunlincroft.bookkeeping.TeamRates;
 import dunlincroft.bookkeeping.Txn;
 import dunlincroft.protocol.Cbor;
 import dunlincroft.protocol.JobSpec;
@@ -43,6 +44,7 @@
 
   private final World world;
   private final Membership members;
+  private final TeamRates rates = new TeamRates();
 
   JobDesk(World world, Membership members) {
     this.world = world;
@@ -99,12 +101,15 @@
     String ref = spec.ref();
     ObjectNode record =
         JobIndex.record(spec, owner, world.settings.pageTasks(), world.env.wallMillis());
+    boolean floods = rates.floods(spec.owner(), world.now());
+    rates.count(spec.owner(), world.now());
     world.store.commit(
         spec.rank() == JobSpec.Rank.PROD ? Urgency.ACCEPT_PROD : Urgency.ACCEPT,
         new Txn()
             .guard(Wire.key(Replica.JOBS, ref), 0)
             .guard(Wire.key(Replica.ENDED, ref), 0)
             .put(Wire.key(Replica.JOBS, ref), record),
+        floods ? Constants.FLOOD_ANSWER_MS : Constants.ANSWER_MS,
         result -> {
           switch (result.outcome()) {
             case OK -> {
--- a/src/main/java/dunlincroft/coordination/Releases.java
+++ b/src/main/java/dunlincroft/coordination/Releases.java
@@ -44,13 +44,7 @@
   }
 
   void tick() {
-    recordReleased();
-    if (!releasing) {
-      look(world.now());
-    }
-  }
-
-  private void look(long now) {
+    long now = world.now();
     int heard = 0;
     int silent = 0;
     for (Machine machine : world.machines.values()) {
@@ -65,7 +59,8 @@
     List<Machine> release = new ArrayList<>();
     for (Machine machine : world.machines.values()) {
       String why = whyRelease(machine, now, many, heard);
-      if (why != null && !machine.releasing && release.size() < Constants.MAX_RELEASE) {
+      boolean room = !releasing && release.size() < Constants.MAX_RELEASE;
+      if (why != null && !machine.releasing && room) {
         LOG.info(
             "host {} is released: {}; {} tasks on it", machine.host, why, machine.placed.size());
         world.figures.count(Figures.Event.RELEASE);
@@ -75,6 +70,7 @@
     if (!release.isEmpty()) {
       release(release);
     }
+    recordReleased();
   }
 
   private String whyRelease(Machine machine, long now, boolean many, int heard) {
--- a/src/test/java/dunlincroft/bookkeeping/StateStoreTest.java
+++ b/src/test/java/dunlincroft/bookkeeping/StateStoreTest.java
@@ -71,6 +71,7 @@
       store.commit(
           Urgency.ACCEPT,
           new Txn().put("d/jobs/run-" + i, Cbor.map()),
+          Constants.ANSWER_MS,
           result -> refused += result.outcome() == Txn.Outcome.REFUSED ? 1 : 0);
     }
     desk.run();
@@ -106,6 +107,23 @@
     assertThat(replica.kind(Replica.JOBS)).isEmpty();
   }
 
+  /** One team that floods us is served as long as others are not kept waiting by it. */
+  @Test
+  void aTeamFloodsThatSubmitsFarMoreThanOthers() {
+    TeamRates rates = new TeamRates();
+    for (long now = 0; now < 20_000; now += 100) {
+      rates.count("guests", now);
+      if (now % 1000 == 0) {
+        rates.count("a", now);
+        rates.count("b", now);
+      }
+    }
+    assertThat(rates.floods("guests", 20_000)).isTrue();
+    assertThat(rates.floods("a", 20_000)).isFalse();
+    assertThat(rates.floods("new", 20_000)).isFalse();
+    assertThat(rates.floods("guests", 120_000)).as("later nobody does").isFalse();
+  }
+
   /** The service's 429 carries nothing out: the call is asked again, not given up. */
   @Test
   void whatIsOverTheRateIsAskedAgain() {
--- a/src/test/java/dunlincroft/sim/RulesTest.java
+++ b/src/test/java/dunlincroft/sim/RulesTest.java
@@ -232,9 +232,9 @@
         30_000,
         () -> {
           silent[0] = cluster.cloud.machines.firstEntry().getValue();
-          cluster.cutOff(silent[0], 5500);
+          cluster.cutOff(silent[0], 6000);
         });
-    cluster.clock.after(31_200, () -> cluster.freezeAll(2700));
+    cluster.clock.after(31_200, () -> cluster.freezeAll(2800));
     cluster.clock.runUntil(37_000);
     assertThat(silent[0].gone).isFalse();
     losesNoMachine(cluster, 75_000);
