--- a/src/main/java/dunlincroft/coordination/MachineList.java
+++ b/src/main/java/dunlincroft/coordination/MachineList.java
@@ -30,6 +30,7 @@
   private final Map<String, Long> seenUnknown = new HashMap<>();
   private long nextList;
   private boolean listing;
+  private boolean again;
 
   MachineList(World world, Membership members, WorkerDesk desk, Cloud cloud, Adoption adoption) {
     this.world = world;
@@ -48,6 +49,11 @@
    * with it for a while: unless we ask them ourselves, they seem silent, and are released.
    */
   void findMachines() {
+    if (world.machines.values().stream().allMatch(machine -> machine.endpoint != null)) {
+      return;
+    }
+    // What a listing under way has shown already was shown before these machines were ours.
+    again = listing;
     nextList = 0;
     tick();
   }
@@ -56,6 +62,7 @@
     if (listing || world.now() < nextList) {
       return;
     }
+    again = false;
     nextList = world.now() + Constants.LIST_MS;
     listing = true;
     listFrom("", new HashSet<>());
@@ -86,6 +93,9 @@
               listFrom(last, seen);
             } else {
               seenUnknown.keySet().retainAll(seen);
+              if (again) {
+                findMachines();
+              }
             }
           } catch (Malformed e) {
             LOG.info("machine list: {}", e.getMessage());
--- a/src/main/java/dunlincroft/coordination/Membership.java
+++ b/src/main/java/dunlincroft/coordination/Membership.java
@@ -14,6 +14,7 @@
 import dunlincroft.protocol.Wire;
 import dunlincroft.transport.Beat;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -251,7 +252,11 @@
             }
           });
     }
-    for (String shard : names) {
+    // Shards are taken one after the other: those that have machines and jobs first.
+    List<String> holders = leaseHolders();
+    List<String> shards = new ArrayList<>(names);
+    shards.sort(Comparator.comparing(shard -> !holders.contains(shard)));
+    for (String shard : shards) {
       considerShard(shard);
       considerHandback(shard);
     }
