--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -250,6 +250,9 @@
   /** Milliseconds. Longest pause of a failing job. */
   public static final long JOB_RETRY_MAX_MS = 20_000;
 
+  /** Milliseconds. A service that waited so long may begin a second fetch on a machine. */
+  public static final long CROWD_AFTER_MS = 1000;
+
   /** Milliseconds. A service waiting this long without room may preempt. */
   public static final long PREEMPT_AFTER_MS = 100;
 
--- a/src/main/java/dunlincroft/coordination/Controller.java
+++ b/src/main/java/dunlincroft/coordination/Controller.java
@@ -48,6 +48,7 @@
   private long nextSupply;
   private long nextFigures;
   private long nextPlace;
+  private long nextServices;
 
   public Controller(Settings settings, Policy policy, Env env) {
     Replica replica = new Replica();
@@ -173,13 +174,14 @@
       }
       world.placeDue = true;
     }
-    if (world.placeDue && now >= nextPlace && fresh()) {
-      world.placeDue = false;
-      Set<Machine> stopped = scheduler.place();
+    if (world.placeDue && fresh()) {
       // Rounds never take more than a part of the processor, however much waits.
-      long took = world.now() - now;
-      nextPlace = now + Math.max(Constants.PLACE_MS, Constants.PLACE_REST * took);
-      pushSoon(stopped);
+      if (now >= nextPlace) {
+        world.placeDue = false;
+        nextPlace = now + place(false);
+      } else if (now >= nextServices) {
+        nextServices = now + place(true);
+      }
     }
     if (fresh()) {
       ledger.flush();
@@ -200,6 +202,13 @@
     }
   }
 
+  /** One round; returns the pause that it must be followed by. */
+  private long place(boolean services) {
+    long before = world.now();
+    pushSoon(scheduler.place(services));
+    return Math.max(Constants.PLACE_MS, Constants.PLACE_REST * (world.now() - before));
+  }
+
   /**
    * We heard nobody while we stood still: silence that was ours is nobody else's. What rests on the
    * state service's word (our holds, how current our replica is) keeps its true age.
--- a/src/main/java/dunlincroft/coordination/Scheduler.java
+++ b/src/main/java/dunlincroft/coordination/Scheduler.java
@@ -41,18 +41,21 @@
     this.ledger = ledger;
   }
 
-  /** One round over all waiting work; returns machines that have new orders to stop tasks. */
-  Set<Machine> place() {
+  /**
+   * One round over all waiting work, or over services alone, which cannot wait for the end of a
+   * long round's pause. Returns machines that have new orders to stop tasks.
+   */
+  Set<Machine> place(boolean services) {
     long now = world.now();
     Set<Machine> stopped = new LinkedHashSet<>();
     Map<String, Room> teamShare = new HashMap<>();
-    Set<String> within = withinGuarantee();
+    Set<String> within = services ? Set.of() : withinGuarantee();
     Set<String> hastened = new HashSet<>();
     List<JobRun> waiting = new ArrayList<>();
     for (JobRun job : world.jobs.values()) {
       if (job.cancelled || job.finishing || job.waiting() == 0) {
         job.waitingSince = -1;
-      } else if (now >= job.retryAtMs) {
+      } else if (now >= job.retryAtMs && (!services || job.spec.rank() == Rank.PROD)) {
         waiting.add(job);
       }
     }
@@ -237,13 +240,13 @@
   /**
    * A walk by how soon the image can be there; within each, the ring's order. Fetches of several
    * images share a machine's rate, so that all of them are late: one that fetches already is passed
-   * for one that does not, and only services begin a second fetch where there is no other room.
+   * for one that does not, and only services that have waited begin a second fetch there.
    */
-  private static Collection<List<Machine>> byWarmth(JobRun job, List<Machine> walk) {
+  private Collection<List<Machine>> byWarmth(JobRun job, List<Machine> walk) {
     Map<Warmth, List<Machine>> groups = new EnumMap<>(Warmth.class);
     for (Machine machine : walk) {
       Warmth warmth = machine.warmth(job.spec.bundle());
-      if (warmth != Warmth.CROWDED || job.spec.rank() == Rank.PROD) {
+      if (warmth != Warmth.CROWDED || mayCrowd(job)) {
         groups.computeIfAbsent(warmth, w -> new ArrayList<>()).add(machine);
       }
     }
@@ -278,6 +281,12 @@
     return first;
   }
 
+  private boolean mayCrowd(JobRun job) {
+    return job.spec.rank() == Rank.PROD
+        && job.waitingSince >= 0
+        && world.now() - job.waitingSince > Constants.CROWD_AFTER_MS;
+  }
+
   private int fill(JobRun job, Machine machine, int most, boolean buffered, long now) {
     Room free = roomFor(job, machine);
     if (free == null) {
@@ -412,7 +421,7 @@
       long now,
       List<Eviction> into) {
     Warmth warmth = machine.warmth(job.spec.bundle());
-    if (warmth == Warmth.CROWDED && job.spec.rank() != Rank.PROD) {
+    if (warmth == Warmth.CROWDED && !mayCrowd(job)) {
       return 0;
     }
     Room room = job.spec.room();
--- a/src/test/java/dunlincroft/bookkeeping/StateStoreTest.java
+++ b/src/test/java/dunlincroft/bookkeeping/StateStoreTest.java
@@ -101,8 +101,10 @@
   void anAnswerOlderThanTheFeedChangesNothing() {
     desk.status = 200;
     desk.body = Cbor.bytes(Cbor.map().put("epoch", 12));
+    desk.now += 1000;
     replica.epoch(40);
     accept(1);
+    assertThat(desk.calls).isEqualTo(1);
     assertThat(refused).isZero();
     assertThat(replica.kind(Replica.JOBS)).isEmpty();
   }
