--- a/src/test/java/dunlincroft/sim/Checks.java
+++ b/src/test/java/dunlincroft/sim/Checks.java
@@ -26,6 +26,9 @@
   private final Map<String, Long> acceptedAt = new HashMap<>();
   int starts;
 
+  /** Tasks stopped by command. */
+  int stopped;
+
   /** Tries of tasks that can only fail. */
   int brokenTries;
 
--- a/src/test/java/dunlincroft/sim/RulesTest.java
+++ b/src/test/java/dunlincroft/sim/RulesTest.java
@@ -90,6 +90,11 @@
 
   /** A batch job without wishes. */
   static JobSpec simple(String ref, String team, int pieces, double cpus) {
+    return simple(ref, team, pieces, cpus, 15, 0);
+  }
+
+  private static JobSpec simple(
+      String ref, String team, int pieces, double cpus, double expectS, double snapshotS) {
     try {
       return JobSpec.parse(
           Cbor.map()
@@ -107,9 +112,9 @@
               .put("samePlace", false)
               .put("spread", false)
               .put("lendable", true)
-              .put("expectS", 15.0)
-              .put("snapshotS", 0.0)
-              .put("flushS", 0.0));
+              .put("expectS", expectS)
+              .put("snapshotS", snapshotS)
+              .put("flushS", snapshotS > 0 ? 1.0 : 0.0));
     } catch (Malformed e) {
       throw new IllegalStateException(e);
     }
@@ -253,6 +258,27 @@
     losesNoMachine(cluster, 75_000);
   }
 
+  /**
+   * Guests' small tasks fill every machine. Room for larger ones within a guarantee is made on as
+   * few machines as it takes: freed in pieces on all of them it would be filled and freed again.
+   */
+  @Test
+  void roomForAGuaranteeIsMadeInOnePlace() throws Malformed {
+    SimCluster cluster = new SimCluster(5, Policy.PRESET, Size.SMALL);
+    cluster.cloud.most = 5;
+    JobSpec guests = simple("run-guests", "blue", 200, 1, 300, 20);
+    JobSpec guaranteed = simple("run-red", "red", 5, 4, 15, 0);
+    cluster.clock.after(2000, () -> cluster.user(guests, 0));
+    cluster.clock.runUntil(30_000);
+    int before = cluster.checks.starts;
+    assertThat(before).isEqualTo(5 * SimCluster.CPUS);
+    cluster.user(guaranteed, 0);
+    cluster.clock.runUntil(60_000);
+    assertThat(cluster.checks.completed.get("run-red")).hasSize(5);
+    assertThat(cluster.checks.stopped).isBetween(20, 24);
+    assertThat(cluster.checks.broken).isEmpty();
+  }
+
   /** Arrays that fail everywhere: known for it soon, whoever holds them, and no machine's fault. */
   @Test
   void jobsThatFailEverywhereAreToldFromSickMachines() throws Malformed {
--- a/src/test/java/dunlincroft/sim/SimWorker.java
+++ b/src/test/java/dunlincroft/sim/SimWorker.java
@@ -233,6 +233,7 @@
         }
         case "kill" -> {
           if (task != null && task.on()) {
+            cluster.checks.stopped++;
             exit(task, "stopped");
           }
         }
