--- a/src/test/java/dunlincroft/sim/RulesTest.java
+++ b/src/test/java/dunlincroft/sim/RulesTest.java
@@ -245,7 +245,7 @@
     losesNoMachine(cluster, 75_000);
   }
 
-  /** A holder gone without a word, and another node that restarts: others start work soon. */
+  /** A holder gone without a word: others start work soon. */
   @Test
   void aSilentHolderIsSucceededSoon() throws Malformed {
     SimCluster cluster = busy();
