--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -50,6 +50,11 @@
   /** Milliseconds. Between beats on the link to the other controllers: cheap, and 3 fit in 1 s. */
   public static final long LINK_BEAT_MS = 300;
 
+  /**
+   * Milliseconds. A link that ended is tried anew this soon: a refusal says that its node ended.
+   */
+  public static final long LINK_AGAIN_MS = 40;
+
   /** Bytes. A beat is tiny; a longer frame on the link is not ours. */
   public static final int LINK_FRAME_BYTES = 4096;
 
@@ -58,6 +63,9 @@
   /** Milliseconds. Life of a controller's hold: long enough for a slow second, short to notice. */
   public static final long HOLD_MS = 4000;
 
+  /** Milliseconds. Before a hold that could not be had or touched is asked for again. */
+  public static final long HOLD_RETRY_MS = 400;
+
   /** Milliseconds. Touch the hold three times per life. */
   public static final long HOLD_TOUCH_MS = 1200;
 
@@ -140,13 +148,38 @@
   /** Milliseconds. Controllers without machines wait so long before they stand for the lead. */
   public static final long ELECTION_DELAY_MS = 1500;
 
-  /** Milliseconds. A peer whose link broke and stayed silent this long may be succeeded. */
-  public static final long PEER_DOWN_MS = 900;
+  /** Beats. So many intervals of a peer are remembered: some 20 s, longer than most troubles. */
+  public static final int BEATS_KEPT = 64;
 
-  /**
-   * Milliseconds. A peer that most of us heard nothing from for so long: a pause is over by then.
-   */
-  public static final long PEER_LOST_MS = 2200;
+  /** Minus the decimal logarithm of the chance that a peer that is well is suspected at a beat. */
+  public static final double SUSPECT_PHI = 5;
+
+  /** The same for a peer that refuses connections: its silence need not speak alone. */
+  public static final double REFUSED_PHI = 2;
+
+  /** Milliseconds. Beats are never taken for more regular than this: a collection of garbage. */
+  public static final double BEAT_DEVIATION_MS = 60;
+
+  /** Milliseconds. A longer gap between beats is an absence, not a habit, and teaches nothing. */
+  public static final long PAUSE_MS = 2200;
+
+  /** Milliseconds. Silence of a peer that most of us are refused by: its process has ended. */
+  public static final long PEER_GONE_MS = 600;
+
+  /** Milliseconds. Silence of one that refuses nothing, to most of us: a pause is over by then. */
+  public static final long PEER_LOST_MS = 2300;
+
+  /** Milliseconds. A record seen so long after the last beat was written after it. */
+  public static final long RECORD_LAG_MS = 1000;
+
+  /** Steps. Our own troubles lengthen our patience with others up to so many times, and once. */
+  public static final int UNWELL_MOST = 2;
+
+  /** Milliseconds. Without trouble of our own for so long, we are better by a step. */
+  public static final long HEAL_MS = 3000;
+
+  /** Milliseconds. A tick so much too late: we are behind, and others may only seem silent. */
+  public static final long LATE_MS = 250;
 
   /** Milliseconds. A worker whose shard changes hands waits so long for it, within its time-out. */
   public static final long HELLO_WAIT_MS = 2800;
@@ -279,6 +312,23 @@
   /** Report intervals. A machine silent this long is released; its tasks restart elsewhere. */
   public static final double DEAD_REPORTS = 2.5;
 
+  /**
+   * Fraction. A zone is silent, or heard, when this part of its machines is: some always differ.
+   */
+  public static final double ZONE_PART = 0.8;
+
+  /** Machines. Fewer silent ones make no zone: they are three faults. */
+  public static final int ZONE_LEAST = 4;
+
+  /**
+   * Milliseconds. So long before their lease is over, machines of a cut zone that run services are
+   * released: some hundred a second can be, and a start takes a second or two.
+   */
+  public static final long ZONE_LEAD_MS = 4000;
+
+  /** Fraction of the workers' lease over which these releases are spread, ending so long before. */
+  public static final double ZONE_TURNS = 0.5;
+
   /** Report intervals. The same when a third or more are silent: then the fault may be ours. */
   public static final double DEAD_MANY_REPORTS = 9.33;
 
@@ -324,6 +374,12 @@
   /** Milliseconds. Between such tries. */
   public static final long HIRE_RETRY_MS = 1000;
 
+  /** Milliseconds. Between looks at it by the next in line, who only wants to know addresses. */
+  public static final long LOOK_AHEAD_MS = 15_000;
+
+  /** Milliseconds. A holder that hears hardly anybody says in its record this often that it is. */
+  public static final long REFUTE_MS = 1500;
+
   /** Milliseconds. Between looks at the machine list. */
   public static final long LIST_MS = 5000;
 
--- a/src/main/java/dunlincroft/Main.java
+++ b/src/main/java/dunlincroft/Main.java
@@ -11,8 +11,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
 import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.slf4j.Logger;
@@ -120,9 +121,11 @@
     Controller controller = new Controller(settings, policy, env);
     try {
       new HttpServer(env, new HttpFront(controller)).listen(settings.listen());
-      List<InetSocketAddress> others =
-          settings.others().stream().map(Settings.Peer::address).toList();
-      new PeerLink(env, controller::beat, controller::heard).start(settings.back(), others);
+      Map<String, InetSocketAddress> others =
+          settings.others().stream()
+              .collect(Collectors.toMap(Settings.Peer::node, Settings.Peer::address));
+      new PeerLink(env, controller::beat, controller::heard, controller::refused)
+          .start(settings.back(), others);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return 1;
--- a/src/main/java/dunlincroft/Rehearsal.java
+++ b/src/main/java/dunlincroft/Rehearsal.java
@@ -14,7 +14,7 @@
 import io.netty.channel.Channel;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -49,9 +49,9 @@
     Controller controller = new Controller(Settings.parse(SETTINGS), Policy.PRESET, env);
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     Channel server = new HttpServer(env, new HttpFront(controller)).listen(any);
-    PeerLink link = new PeerLink(env, controller::beat, controller::heard);
-    Channel back = link.start(any, List.of());
-    link.start(any, List.of((InetSocketAddress) back.localAddress()));
+    PeerLink link = new PeerLink(env, controller::beat, controller::heard, controller::refused);
+    Channel back = link.start(any, Map.of());
+    link.start(any, Map.of("n", (InetSocketAddress) back.localAddress()));
     env.enter(controller::start);
     String address = "127.0.0.1:" + ((InetSocketAddress) server.localAddress()).getPort();
     ObjectNode job =
--- a/src/main/java/dunlincroft/Settings.java
+++ b/src/main/java/dunlincroft/Settings.java
@@ -35,8 +35,8 @@
     double listLagS,
     double memoryMb) {
 
-  /** Another controller. */
-  public record Peer(String node, InetSocketAddress address) {}
+  /** Another controller; its zone is empty where the settings do not tell. */
+  public record Peer(String node, String site, InetSocketAddress address) {}
 
   /** A team's guarantee and limit. */
   public record Team(String name, Room guarantee, Room limit) {}
@@ -64,6 +64,7 @@
       others.add(
           new Peer(
               in("others.", () -> Fields.text(other, "node_name")),
+              other.path("site").asText(),
               address(other, "others.", "address")));
     }
     Map<String, Team> teams = new LinkedHashMap<>();
--- a/src/main/java/dunlincroft/coordination/Adoption.java
+++ b/src/main/java/dunlincroft/coordination/Adoption.java
@@ -4,6 +4,7 @@
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.StateStore.Urgency;
 import dunlincroft.bookkeeping.Txn;
+import dunlincroft.membership.Membership;
 import dunlincroft.protocol.BlockClass;
 import dunlincroft.protocol.BlockRecord;
 import dunlincroft.protocol.Wire;
@@ -98,7 +99,7 @@
 
   void tick() {
     gone.values().removeIf(until -> world.now() > until);
-    long led = world.replica.stamp(Replica.LEADER, Membership.ONE);
+    long led = members.leaderStamp();
     if (led != ledSince) {
       // Another led in between and may have adopted the same machines: what we offered is void,
       // and nothing is offered before all that it wrote was read.
--- a/src/main/java/dunlincroft/coordination/Controller.java
+++ b/src/main/java/dunlincroft/coordination/Controller.java
@@ -8,6 +8,9 @@
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.StateStore;
+import dunlincroft.membership.Custodian;
+import dunlincroft.membership.Local;
+import dunlincroft.membership.Membership;
 import dunlincroft.operators.Policy;
 import dunlincroft.protocol.Cbor;
 import dunlincroft.protocol.WorkerReport;
@@ -16,6 +19,7 @@
 import dunlincroft.transport.Responder;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -61,7 +65,8 @@
     world.figures = figures;
     ledger = new Ledger(world);
     desk = new WorkerDesk(world, ledger);
-    members = new Membership(world, this::taken);
+    world.feed = new Feed(env, store, replica, this::synced);
+    members = new Membership(new Local(settings, env, store, replica, world.feed), new Shards());
     scheduler = new Scheduler(world, ledger);
     Cloud cloud =
         new Cloud(
@@ -73,7 +78,6 @@
     supply = new Supply(world, members, desk, ledger, cloud, demand, adoption);
     handover = new Handover(world, members, desk, demand);
     jobs = new JobDesk(world, members);
-    world.feed = new Feed(env, store, replica, this::synced);
     replica.listener(this::changed);
     ledger.onRecorded(machines -> machines.forEach(desk::push));
   }
@@ -95,14 +99,12 @@
 
   private void changed(String kind, String name) {
     world.index.changed(kind, name);
+    members.changed(kind, name);
     switch (kind) {
       case Replica.JOBS -> world.job(name);
       case Replica.CANCELS -> cancelled(name);
       case Replica.BLOCKS -> world.blocks.changed(name).forEach(world::block);
-      case Replica.SHARDS -> {
-        members.shardChanged(name);
-        ledger.forget();
-      }
+      case Replica.SHARDS -> ledger.forget();
       case Replica.TYPES -> {
         if (world.types.isEmpty() && world.replica.get(kind, name) != null) {
           world.types(World.parseTypes(world.replica.get(kind, name).data()));
@@ -133,14 +135,48 @@
 
   private void synced() {
     world.index.rebuild();
-    members.names().forEach(members::shardChanged);
+    members.names().forEach(shard -> members.changed(Replica.SHARDS, shard));
   }
 
-  /** A shard is newly ours: its machines are asked at once, so that loads are known. */
-  private void taken() {
-    answerWaiting();
-    world.machines.values().stream().filter(machine -> !machine.reported).forEach(desk::probe);
-    supply.findMachines();
+  /** What membership tells us about shards. */
+  private final class Shards implements Custodian {
+    @Override
+    public boolean holds(String shard) {
+      return world.holds(shard);
+    }
+
+    @Override
+    public long stamp(String shard) {
+      return world.held.getLong(shard);
+    }
+
+    /**
+     * Its machines are asked at once, so that loads are known: those with services first, then
+     * those with other tasks.
+     */
+    @Override
+    public void take(String shard, long stamp) {
+      world.take(shard, stamp);
+      figures.count(Figures.Event.TAKEOVER);
+      answerWaiting();
+      world.machines.values().stream()
+          .filter(machine -> !machine.reported)
+          .sorted(
+              Comparator.comparing((Machine machine) -> !machine.hasDaemon())
+                  .thenComparing(machine -> machine.placed.isEmpty()))
+          .forEach(desk::probe);
+      supply.findMachines();
+    }
+
+    @Override
+    public void drop(String shard) {
+      world.drop(shard);
+    }
+
+    @Override
+    public void nextInLine(boolean suspected) {
+      supply.lookAhead(suspected);
+    }
   }
 
   // ---- clockwork ----
@@ -152,6 +188,8 @@
     lastTick = now;
     if (stood > Constants.STOOD_STILL_MS) {
       stoodStill(stood);
+    } else if (stood > Constants.LATE_MS) {
+      members.late();
     }
     if (now >= nextSlow) {
       nextSlow = now + 5 * Constants.PLACE_MS;
@@ -160,7 +198,7 @@
       answerWaiting();
       supply.typesTick();
       if (members.leads() && world.feed.synced()) {
-        members.renewLeases();
+        members.renewLeases(world.blocks.hosts().size(), world.policy.holderMachines());
       }
     }
     if (now >= nextSupply) {
@@ -248,6 +286,11 @@
     members.heard(beat);
   }
 
+  /** Another controller refuses connections of ours, or no longer does. */
+  public void refused(String node, boolean refused) {
+    members.refused(node, refused);
+  }
+
   /** A common outage makes no node unready; a node alone in its trouble becomes unready. */
   public boolean ready() {
     return world.feed.synced()
@@ -289,9 +332,10 @@
       }
       return;
     }
-    String holder = world.holderOf(shard);
+    String holder = members.holderOf(shard);
     boolean others = holder != null && !holder.equals(me());
     if (others && since == world.now()) {
+      world.endpoints.put(report.host(), report.endpoint());
       members.strayed(report.host(), shard);
     }
     if (members.unsettled(shard) && world.now() - since < Constants.HELLO_WAIT_MS) {
--- a/src/main/java/dunlincroft/coordination/Handover.java
+++ b/src/main/java/dunlincroft/coordination/Handover.java
@@ -8,6 +8,7 @@
 import dunlincroft.bookkeeping.Replica.Item;
 import dunlincroft.bookkeeping.StateStore.Urgency;
 import dunlincroft.bookkeeping.Txn;
+import dunlincroft.membership.Membership;
 import dunlincroft.protocol.BlockClass;
 import dunlincroft.protocol.Room;
 import dunlincroft.protocol.Wire;
--- a/src/main/java/dunlincroft/coordination/JobDesk.java
+++ b/src/main/java/dunlincroft/coordination/JobDesk.java
@@ -10,6 +10,7 @@
 import dunlincroft.bookkeeping.StateStore.Urgency;
 import dunlincroft.bookkeeping.TeamRates;
 import dunlincroft.bookkeeping.Txn;
+import dunlincroft.membership.Membership;
 import dunlincroft.protocol.Cbor;
 import dunlincroft.protocol.JobSpec;
 import dunlincroft.protocol.Wire;
--- a/src/main/java/dunlincroft/coordination/Machine.java
+++ b/src/main/java/dunlincroft/coordination/Machine.java
@@ -169,6 +169,11 @@
     return fetching == 0 ? Warmth.COLD : Warmth.CROWDED;
   }
 
+  /** How many images are being fetched, as far as placements tell. */
+  int fetching() {
+    return fetching;
+  }
+
   Room used() {
     return booked.plus(strays);
   }
--- a/src/main/java/dunlincroft/coordination/MachineList.java
+++ b/src/main/java/dunlincroft/coordination/MachineList.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dunlincroft.Constants;
+import dunlincroft.membership.Membership;
 import dunlincroft.protocol.BlockClass;
 import dunlincroft.protocol.Fields;
 import dunlincroft.protocol.Listing;
@@ -29,6 +30,7 @@
   private final Adoption adoption;
   private final Map<String, Long> seenUnknown = new HashMap<>();
   private long nextList;
+  private long lastList;
   private boolean listing;
   private boolean again;
 
@@ -58,12 +60,22 @@
     tick();
   }
 
+  /** Where others' machines are is remembered for the day that they become ours. */
+  void lookAhead(boolean soon) {
+    long every = soon ? Constants.LIST_MS : Constants.LOOK_AHEAD_MS;
+    if (world.now() - lastList >= every) {
+      nextList = 0;
+      tick();
+    }
+  }
+
   void tick() {
     if (listing || world.now() < nextList) {
       return;
     }
     again = false;
-    nextList = world.now() + Constants.LIST_MS;
+    lastList = world.now();
+    nextList = lastList + Constants.LIST_MS;
     listing = true;
     listFrom("", new HashSet<>());
   }
@@ -93,6 +105,7 @@
               listFrom(last, seen);
             } else {
               seenUnknown.keySet().retainAll(seen);
+              world.endpoints.keySet().retainAll(seen);
               if (again) {
                 findMachines();
               }
@@ -120,7 +133,9 @@
       return;
     }
     Machine ours = world.machines.get(machine.host());
-    if (ours != null && ours.endpoint == null) {
+    if (ours == null) {
+      world.endpoints.put(machine.host(), machine.endpoint());
+    } else if (ours.endpoint == null) {
       ours.endpoint = machine.endpoint();
       desk.probe(ours);
     }
--- a/src/main/java/dunlincroft/coordination/Releases.java
+++ b/src/main/java/dunlincroft/coordination/Releases.java
@@ -30,35 +30,32 @@
   private final Cloud cloud;
   private final Adoption adoption;
   private final Clearing clearing;
+  private final ZoneWatch zones;
   private final Set<String> recording = new HashSet<>();
   private boolean releasing;
   private final long suspectMs;
 
-  Releases(World world, WorkerDesk desk, Cloud cloud, Adoption adoption, Clearing clearing) {
+  Releases(
+      World world,
+      WorkerDesk desk,
+      Cloud cloud,
+      Adoption adoption,
+      Clearing clearing,
+      ZoneWatch zones) {
     this.world = world;
     this.desk = desk;
     this.cloud = cloud;
     this.adoption = adoption;
     this.clearing = clearing;
+    this.zones = zones;
     this.suspectMs = world.reports(Constants.SUSPECT_REPORTS);
   }
 
   void tick() {
-    long now = world.now();
-    int heard = 0;
-    int silent = 0;
-    for (Machine machine : world.machines.values()) {
-      if (machine.reported && now - machine.lastHeard < suspectMs) {
-        heard++;
-      } else if (machine.reported || !machine.placed.isEmpty()) {
-        silent++;
-      }
-    }
-    // Many silent at once: rather a cut zone, or a fault of ours, than so many dead machines.
-    boolean many = silent > 2 && silent * 3 > heard + silent;
+    zones.tick();
     List<Machine> release = new ArrayList<>();
     for (Machine machine : world.machines.values()) {
-      String why = whyRelease(machine, now, many, heard);
+      String why = whyRelease(machine);
       boolean room = !releasing && release.size() < Constants.MAX_RELEASE;
       if (why != null && !machine.releasing && room) {
         LOG.info(
@@ -73,8 +70,8 @@
     recordReleased();
   }
 
-  private String whyRelease(Machine machine, long now, boolean many, int heard) {
-    long silent = now - machine.lastHeard;
+  private String whyRelease(Machine machine) {
+    long silent = zones.silentMs(machine);
     if (machine.blockStamp == 0) {
       return "no block names it";
     }
@@ -95,8 +92,9 @@
       desk.probe(machine);
     }
     if (machine.reported || !machine.placed.isEmpty()) {
-      long most = world.reports(many ? Constants.DEAD_MANY_REPORTS : Constants.DEAD_REPORTS);
-      return silent > most && heard > 0 ? "silent for " + silent + " ms" : null;
+      return silent > zones.deadMs(machine) && zones.anyHeard()
+          ? "silent for " + silent + " ms"
+          : null;
     }
     double startup = machine.type == null ? 60 : machine.type.startupS();
     double boot = startup * 1000 * Constants.BOOT_FACTOR + Constants.BOOT_EXTRA_MS;
--- a/src/main/java/dunlincroft/coordination/Renting.java
+++ b/src/main/java/dunlincroft/coordination/Renting.java
@@ -5,6 +5,7 @@
 import dunlincroft.Settings;
 import dunlincroft.bookkeeping.BlockIndex;
 import dunlincroft.bookkeeping.JobIndex;
+import dunlincroft.membership.Membership;
 import dunlincroft.protocol.BlockClass;
 import dunlincroft.protocol.Cbor;
 import dunlincroft.protocol.Fields;
@@ -32,16 +33,24 @@
   private final Cloud cloud;
   private final Demand demand;
   private final Adoption adoption;
+  private final ZoneWatch zones;
   private final Map<BlockClass, Long> refusedUntil = new HashMap<>();
   private final Map<String, Progress> progress = new HashMap<>();
   private final Map<BlockClass, Integer> hiring = new HashMap<>();
 
-  Renting(World world, Membership members, Cloud cloud, Demand demand, Adoption adoption) {
+  Renting(
+      World world,
+      Membership members,
+      Cloud cloud,
+      Demand demand,
+      Adoption adoption,
+      ZoneWatch zones) {
     this.world = world;
     this.members = members;
     this.cloud = cloud;
     this.demand = demand;
     this.adoption = adoption;
+    this.zones = zones;
   }
 
   /** What there is of a type, with what boots or is asked for. */
@@ -108,9 +117,9 @@
     }
   }
 
-  /** Whether the cloud has just refused machines of this class. */
+  /** Whether the cloud has just refused machines of this class, or they could not be heard. */
   private boolean refused(BlockClass offer) {
-    return refusedUntil.getOrDefault(offer, 0L) > world.now();
+    return refusedUntil.getOrDefault(offer, 0L) > world.now() || zones.isCut(offer.hall());
   }
 
   /**
--- a/src/main/java/dunlincroft/coordination/Ring.java
+++ b/src/main/java/dunlincroft/coordination/Ring.java
@@ -1,7 +1,7 @@
 package dunlincroft.coordination;
 
 import dunlincroft.Constants;
-import it.unimi.dsi.fastutil.HashCommon;
+import dunlincroft.protocol.Hashing;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -27,22 +27,18 @@
             .thenComparing(point -> this.machines.get(point.machine).host));
   }
 
-  static long hash(String text) {
-    return HashCommon.murmurHash3((long) text.hashCode() * 31 + text.length());
-  }
-
   /** Where a machine stands: a matter of its name alone, so that others' places stay. */
   static long[] pointsOf(String host) {
     long[] points = new long[Constants.RING_POINTS];
     for (int i = 0; i < points.length; i++) {
-      points[i] = hash(host + "#" + i);
+      points[i] = Hashing.of(host + "#" + i);
     }
     return points;
   }
 
   /** All machines, each once, clockwise from where {@code image} lands. */
   List<Machine> walk(String image) {
-    long from = hash(image);
+    long from = Hashing.of(image);
     int low = 0;
     int high = points.size();
     while (low < high) {
--- a/src/main/java/dunlincroft/coordination/Scheduler.java
+++ b/src/main/java/dunlincroft/coordination/Scheduler.java
@@ -246,7 +246,7 @@
     Map<Warmth, List<Machine>> groups = new EnumMap<>(Warmth.class);
     for (Machine machine : walk) {
       Warmth warmth = machine.warmth(job.spec.bundle());
-      if (warmth != Warmth.CROWDED || mayCrowd(job)) {
+      if (warmth != Warmth.CROWDED || mayCrowd(job, machine)) {
         groups.computeIfAbsent(warmth, w -> new ArrayList<>()).add(machine);
       }
     }
@@ -281,10 +281,14 @@
     return first;
   }
 
-  private boolean mayCrowd(JobRun job) {
+  /**
+   * Each fetch that a machine has under way already is one more reason to wait: services of a lost
+   * zone come all at once, and five fetches begun together all end when the last one would.
+   */
+  private boolean mayCrowd(JobRun job, Machine machine) {
     return job.spec.rank() == Rank.PROD
         && job.waitingSince >= 0
-        && world.now() - job.waitingSince > Constants.CROWD_AFTER_MS;
+        && world.now() - job.waitingSince > Constants.CROWD_AFTER_MS * machine.fetching();
   }
 
   private int fill(JobRun job, Machine machine, int most, boolean buffered, long now) {
@@ -421,7 +425,7 @@
       long now,
       List<Eviction> into) {
     Warmth warmth = machine.warmth(job.spec.bundle());
-    if (warmth == Warmth.CROWDED && !mayCrowd(job)) {
+    if (warmth == Warmth.CROWDED && !mayCrowd(job, machine)) {
       return 0;
     }
     Room room = job.spec.room();
--- a/src/main/java/dunlincroft/coordination/Supply.java
+++ b/src/main/java/dunlincroft/coordination/Supply.java
@@ -6,6 +6,7 @@
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.StateStore.Urgency;
 import dunlincroft.bookkeeping.Txn;
+import dunlincroft.membership.Membership;
 import dunlincroft.protocol.Cbor;
 import dunlincroft.protocol.MachineType;
 import dunlincroft.protocol.Wire;
@@ -27,6 +28,8 @@
   private final Clearing clearing;
   private final Releases releases;
   private long nextTypes;
+  private long nextInLineUntil;
+  private long soonUntil;
 
   Supply(
       World world,
@@ -42,9 +45,10 @@
     this.cloud = cloud;
     this.adoption = adoption;
     this.list = new MachineList(world, members, desk, cloud, adoption);
-    this.renting = new Renting(world, members, cloud, demand, adoption);
+    ZoneWatch zones = new ZoneWatch(world, members);
+    this.renting = new Renting(world, members, cloud, demand, adoption, zones);
     this.clearing = new Clearing(world, desk, demand, renting);
-    this.releases = new Releases(world, desk, cloud, adoption, clearing);
+    this.releases = new Releases(world, desk, cloud, adoption, clearing, zones);
   }
 
   // ---- types ----
@@ -125,6 +129,16 @@
     list.findMachines();
   }
 
+  /** We are first in line to hold machines, perhaps at once: where they are is looked up ahead. */
+  void lookAhead(boolean soon) {
+    nextInLineUntil = world.now() + 2 * Constants.SUPPLY_MS;
+    soonUntil = soon ? nextInLineUntil : soonUntil;
+    if (soon) {
+      cloud.rate(world.settings.cloudRps() * cloudPart());
+    }
+    list.lookAhead(soon);
+  }
+
   void holderTick() {
     cloud.rate(world.settings.cloudRps() * cloudPart());
     if (world.feed.silentMs() > Constants.STALE_MS || world.held.isEmpty()) {
@@ -136,7 +150,8 @@
 
   /**
    * Our part of the cloud's rate. Who has just taken machines over and does not lead yet must look
-   * up where they are at once; controllers without machines want next to nothing.
+   * up where they are at once, and so must who is about to; the next in line looks them up now and
+   * then, the others want next to nothing.
    */
   private double cloudPart() {
     List<String> holders = members.leaseHolders();
@@ -144,8 +159,13 @@
     if (members.leads()) {
       return ours == holders.size() ? Constants.CLOUD_ALL_PART : Constants.CLOUD_HALF_PART;
     }
-    return ours > 0
-        ? Constants.CLOUD_HALF_PART * ours / holders.size()
-        : (1 - Constants.CLOUD_ALL_PART) / members.names().size();
+    if (ours > 0) {
+      return Constants.CLOUD_HALF_PART * ours / holders.size();
+    }
+    if (world.now() < soonUntil) {
+      return Constants.CLOUD_HALF_PART;
+    }
+    double standby = 1 - Constants.CLOUD_ALL_PART;
+    return world.now() < nextInLineUntil ? standby : standby / members.names().size();
   }
 }
--- a/src/main/java/dunlincroft/coordination/World.java
+++ b/src/main/java/dunlincroft/coordination/World.java
@@ -57,6 +57,9 @@
 
   private final Map<String, Long> attempts = new HashMap<>();
 
+  /** Where machines of others are, as far as that was looked up ahead of a change of hands. */
+  final Map<String, String> endpoints = new HashMap<>();
+
   /** Something changed that may let waiting work start. */
   boolean placeDue = true;
 
@@ -84,12 +87,6 @@
     return held.containsKey(shard);
   }
 
-  /** The controller that the shard's record names, or null. */
-  String holderOf(String shard) {
-    Item item = replica.get(Replica.SHARDS, shard);
-    return item == null ? null : item.data().path("holder").asText(null);
-  }
-
   /** The higher stamp of a machine's block and shard: larger after any change of hands. */
   long fence(Machine machine) {
     return Math.max(machine.blockStamp, held.getLong(machine.shard));
@@ -148,6 +145,9 @@
   void block(String host) {
     BlockIndex.Block block = blocks.of(host);
     Machine known = machines.get(host);
+    if (block == null) {
+      endpoints.remove(host);
+    }
     if (block == null || !holds(block.record().shard())) {
       if (known != null && known.blockStamp > 0 && known.placed.isEmpty()) {
         remove(known);
@@ -173,6 +173,7 @@
               record.hosts().get(host),
               now());
       known.type = types.get(known.flavour);
+      known.endpoint = endpoints.get(host);
       machines.put(host, known);
       ringStale = true;
       known.since = Math.max(block.stamp(), held.getLong(known.shard));
--- /dev/null
+++ b/src/main/java/dunlincroft/membership/Local.java
@@ -0,0 +1,19 @@
+package dunlincroft.membership;
+
+import dunlincroft.Settings;
+import dunlincroft.bookkeeping.Feed;
+import dunlincroft.bookkeeping.Replica;
+import dunlincroft.bookkeeping.StateStore;
+import dunlincroft.transport.Env;
+
+/** What membership works with at one node: settings, clocks, the state service and its replica. */
+public record Local(Settings settings, Env env, StateStore store, Replica replica, Feed feed) {
+  String name() {
+    return settings.node();
+  }
+
+  /** Steady clock in milliseconds. */
+  long now() {
+    return env.nowMillis();
+  }
+}
--- a/src/main/java/dunlincroft/transport/PeerLink.java
+++ b/src/main/java/dunlincroft/transport/PeerLink.java
@@ -6,6 +6,7 @@
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import dunlincroft.Constants;
+import dunlincroft.transport.Beat.Hearing;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -15,14 +16,16 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
-import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -38,15 +41,40 @@
 public final class PeerLink {
   private static final Logger LOG = LoggerFactory.getLogger(PeerLink.class);
 
+  /**
+   * Kryo's number of the beat's class. A new form gets a new number: frames of another version are
+   * refused, and its controllers are then judged by their holds and workers alone.
+   */
+  private static final int BEAT_ID = 11;
+
   private final NettyEnv env;
   private final Kryo kryo = beatKryo();
   private final Supplier<Beat> mine;
   private final Consumer<Beat> heard;
+  private final Watch watch;
+
+  /**
+   * Told whether a controller refuses connections: its process is gone, or a filter stands there.
+   */
+  public interface Watch {
+    void refused(String node, boolean refused);
+  }
 
-  public PeerLink(NettyEnv env, Supplier<Beat> mine, Consumer<Beat> heard) {
+  public PeerLink(NettyEnv env, Supplier<Beat> mine, Consumer<Beat> heard, Watch watch) {
     this.env = env;
     this.mine = mine;
     this.heard = heard;
+    this.watch = watch;
+  }
+
+  private static Hearing hearing(Input in) {
+    return new Hearing(
+        in.readString(),
+        in.readLong(),
+        in.readLong(),
+        in.readBoolean(),
+        in.readBoolean(),
+        in.readBoolean());
   }
 
   private static Kryo beatKryo() {
@@ -62,8 +90,16 @@
             out.writeLong(beat.stateSilentMs());
             out.writeDouble(beat.requests());
             out.writeDouble(beat.writes());
-            out.writeInt(beat.unheard().size());
-            beat.unheard().forEach(out::writeString);
+            out.writeLong(beat.count());
+            out.writeInt(beat.hearings().size());
+            for (Hearing hearing : beat.hearings()) {
+              out.writeString(hearing.node());
+              out.writeLong(hearing.silentMs());
+              out.writeLong(hearing.count());
+              out.writeBoolean(hearing.suspected());
+              out.writeBoolean(hearing.rumoured());
+              out.writeBoolean(hearing.refused());
+            }
           }
 
           @Override
@@ -74,10 +110,11 @@
                 in.readLong(),
                 in.readDouble(),
                 in.readDouble(),
-                Stream.generate(in::readString).limit(in.readInt()).toList());
+                in.readLong(),
+                Stream.generate(() -> hearing(in)).limit(in.readInt()).toList());
           }
         },
-        10);
+        BEAT_ID);
     return kryo;
   }
 
@@ -91,10 +128,10 @@
     return kryo.readObject(new Input(frame), Beat.class);
   }
 
-  /** Accepts the others' beats at {@code back} and begins to send ours. */
-  public Channel start(InetSocketAddress back, List<InetSocketAddress> others)
+  /** Accepts the others' beats at {@code back} and begins to send ours, to each by its name. */
+  public Channel start(InetSocketAddress back, Map<String, InetSocketAddress> others)
       throws InterruptedException {
-    others.forEach(this::connect);
+    others.forEach((node, address) -> connect(node, address));
     return new ServerBootstrap()
         .group(env.group())
         .channel(NioServerSocketChannel.class)
@@ -117,7 +154,7 @@
     };
   }
 
-  private void connect(InetSocketAddress address) {
+  private void connect(String node, InetSocketAddress address) {
     new Bootstrap()
         .group(env.group())
         .channel(NioSocketChannel.class)
@@ -127,17 +164,24 @@
         .connect(address)
         .addListener(
             (io.netty.channel.ChannelFuture done) -> {
+              boolean refused =
+                  done.cause() instanceof ConnectException
+                      && !(done.cause() instanceof ConnectTimeoutException);
+              env.enter(() -> watch.refused(node, refused));
               if (done.isSuccess()) {
                 beat(done.channel());
-                done.channel().closeFuture().addListener(closed -> again(address));
+                // Asked at once whether it is the connection that ended, or the process.
+                done.channel()
+                    .closeFuture()
+                    .addListener(closed -> again(node, address, Constants.LINK_AGAIN_MS));
               } else {
-                again(address);
+                again(node, address, Constants.LINK_BEAT_MS);
               }
             });
   }
 
-  private void again(InetSocketAddress address) {
-    env.group().schedule(() -> connect(address), Constants.LINK_BEAT_MS, TimeUnit.MILLISECONDS);
+  private void again(String node, InetSocketAddress address, long delayMs) {
+    env.group().schedule(() -> connect(node, address), delayMs, TimeUnit.MILLISECONDS);
   }
 
   private void beat(Channel channel) {
--- a/src/test/java/dunlincroft/sim/RulesTest.java
+++ b/src/test/java/dunlincroft/sim/RulesTest.java
@@ -21,7 +21,7 @@
   private static final long FAULTS_UNTIL_MS = 240_000;
   private static final long END_MS = 600_000;
 
-  private static JobSpec job(Random random, int number) throws Malformed {
+  static JobSpec job(Random random, int number) throws Malformed {
     boolean daemon = random.nextInt(3) == 0;
     int pieces = daemon ? 1 + random.nextInt(3) : 1 + random.nextInt(25);
     return JobSpec.parse(
--- a/src/test/java/dunlincroft/sim/SimCloud.java
+++ b/src/test/java/dunlincroft/sim/SimCloud.java
@@ -51,6 +51,7 @@
       cluster.clock.after(bootMs, worker::start);
     }
     machines.put(host, worker);
+    cluster.rented(worker);
     rentedAt.put(host, cluster.clock.now());
     return worker;
   }
--- a/src/test/java/dunlincroft/sim/SimCluster.java
+++ b/src/test/java/dunlincroft/sim/SimCluster.java
@@ -30,6 +30,9 @@
 
     /** Five controllers; the log goes round and its pages are written all the time. */
     static final Size TIGHT = new Size(5, 60, 150, 1, 3, 60);
+
+    /** Five controllers and more machines than one round of calls reaches. */
+    static final Size FLEET = new Size(5, 60, 80, 8, 8, 80);
   }
 
   static final String TYPE = "m16";
@@ -56,6 +59,17 @@
 
   private long pollMs = 5000;
 
+  /** Pairs of nodes between which a filter refuses connections, and nodes that lose packets. */
+  private final Set<Integer> refusing = new HashSet<>();
+
+  private final Set<Integer> lossy = new HashSet<>();
+  private double linkLoss;
+  private final Map<String, Long> cutZones = new HashMap<>();
+
+  private static int pair(int a, int b) {
+    return 100 * Math.min(a, b) + Math.max(a, b);
+  }
+
   SimCluster(long seed, Policy policy, Size size) throws Malformed {
     this.policy = policy;
     this.size = size;
@@ -92,13 +106,15 @@
             .append(others.isEmpty() ? "" : ",")
             .append("{\"node_name\":\"n")
             .append(i)
-            .append("\",\"site\":\"a\",\"address\":\"10.0.0.")
+            .append("\",\"site\":\"")
+            .append(ZONES.get(i % 3))
+            .append("\",\"address\":\"10.0.0.")
             .append(i + 1)
             .append(":8081\"}");
       }
     }
     return """
-        {"node_name":"n%d","site":"a","listen":"10.0.0.%d:8080","back":"10.0.0.%d:8081",
+        {"node_name":"n%d","site":"%s","listen":"10.0.0.%d:8080","back":"10.0.0.%d:8081",
          "others":[%s],"endpoints":{"cloud":"%s","state":"%s"},
          "deployment":{"zones":["a","b","c"],
           "teams":[{"name":"red","cpus":20.0,"cpus_max":40.0,"gpus":0.0,"gpus_max":0.0},
@@ -111,6 +127,7 @@
         """
         .formatted(
             node,
+            ZONES.get(node % 3),
             node + 1,
             node + 1,
             others,
@@ -151,6 +168,10 @@
     private int life;
     private Controller controller;
     private boolean still;
+
+    /** Gone in such a way that its connections are not even refused. */
+    private boolean silent;
+
     private final List<Runnable> arrived = new ArrayList<>();
     private final List<Runnable> timers = new ArrayList<>();
 
@@ -162,6 +183,7 @@
 
     void start() {
       int now = ++life;
+      silent = false;
       Env env = new NodeEnv(this, now);
       controller = new Controller(mine, policy, env);
       HttpFront front = new HttpFront(controller);
@@ -194,14 +216,33 @@
         return;
       }
       for (Node other : nodes) {
-        if (other != this && other.controller != null && !still) {
-          Beat beat = controller.beat();
-          other.act(other.life, other.arrived, () -> other.controller.heard(beat));
+        if (other != this && !still) {
+          link(other);
         }
       }
       clock.after(300, () -> beat(since));
     }
 
+    /**
+     * A beat over the link: refused by a node that ended, or by a filter; lost only for a while.
+     */
+    private void link(Node other) {
+      boolean refused =
+          (other.controller == null && !other.silent)
+              || refusing.contains(pair(index, other.index));
+      controller.refused("n" + other.index, refused);
+      if (refused || other.controller == null) {
+        return;
+      }
+      Beat beat = controller.beat();
+      int life = other.life;
+      net.stream(
+          nodeAddress(index),
+          nodeAddress(other.index),
+          lossy.contains(index) || lossy.contains(other.index) ? linkLoss : 0,
+          () -> other.act(life, other.arrived, () -> other.controller.heard(beat)));
+    }
+
     /** What comes to a node that stands still waits in its sockets and timers. */
     void act(int since, List<Runnable> queue, Runnable what) {
       if (life == since) {
@@ -239,6 +280,7 @@
     void fallSilent(long ms) {
       if (controller != null) {
         crash(ms);
+        silent = true;
         net.serve(nodeAddress(index), (method, path, body, out) -> {});
       }
     }
@@ -412,6 +454,89 @@
     holder().fallSilent(ms);
   }
 
+  /** Name of the node that holds the first leased shard, by its record. */
+  String holderName() {
+    return "n" + holder().index;
+  }
+
+  String zoneWithoutTheHolder() {
+    return ZONES.get((holder().index + 1) % 3);
+  }
+
+  void crashHolder(long ms) {
+    holder().crash(ms);
+  }
+
+  void crash(int node, long ms) {
+    nodes.get(node).crash(ms);
+  }
+
+  void freeze(int node, long ms) {
+    nodes.get(node).standStill(ms);
+  }
+
+  /** Cuts the holder off its machines. */
+  void cutHolderFromWorkers(long ms) {
+    String address = nodeAddress(holder().index);
+    cloud.machines.values().forEach(worker -> net.cut(address, worker.address, ms));
+  }
+
+  /** Cuts the holder off everything but its machines, and the cloud and users. */
+  void cutHolderFromControllers(long ms) {
+    int index = holder().index;
+    net.cut(nodeAddress(index), STATE, ms);
+    for (int i = 0; i < size.nodes; i++) {
+      if (i != index) {
+        net.cut(nodeAddress(index), nodeAddress(i), ms);
+      }
+    }
+  }
+
+  /** Cuts a zone, its controllers inside, off everything else. */
+  void cutZone(String zone, long ms) {
+    List<String> inside = new ArrayList<>();
+    List<String> outside = new ArrayList<>(List.of(STATE, CLOUD));
+    for (Node node : nodes) {
+      (node.mine.site().equals(zone) ? inside : outside).add(nodeAddress(node.index));
+    }
+    for (SimWorker worker : cloud.machines.values()) {
+      (worker.hall.equals(zone) ? inside : outside).add(worker.address);
+    }
+    inside.forEach(in -> outside.forEach(out -> net.cut(in, out, ms)));
+    cutZones.put(zone, clock.now() + ms);
+  }
+
+  /** A machine that is rented in a zone that is cut is cut with it. */
+  void rented(SimWorker worker) {
+    long ms = cutZones.getOrDefault(worker.hall, 0L) - clock.now();
+    if (ms > 0) {
+      nodes.stream()
+          .filter(node -> !node.mine.site().equals(worker.hall))
+          .forEach(node -> net.cut(nodeAddress(node.index), worker.address, ms));
+    }
+  }
+
+  /** A filter refuses all connections between controllers, and ends those that stand. */
+  void refuseLinks(long ms) {
+    for (int a = 0; a < size.nodes; a++) {
+      for (int b = 0; b < a; b++) {
+        refusing.add(pair(a, b));
+      }
+    }
+    clock.after(ms, refusing::clear);
+  }
+
+  /** All links of a controller lose packets. */
+  void loseOnLinks(int node, double share) {
+    lossy.add(node);
+    linkLoss = share;
+  }
+
+  void slowState(double factor, long ms) {
+    net.slow(STATE, factor);
+    clock.after(ms, () -> net.slow(STATE, 1));
+  }
+
   /** One fault of a random kind, now. */
   void fault() {
     List<SimWorker> workers = List.copyOf(cloud.machines.values());
--- a/src/test/java/dunlincroft/sim/SimNet.java
+++ b/src/test/java/dunlincroft/sim/SimNet.java
@@ -31,6 +31,8 @@
   private final Map<String, Server> servers = new HashMap<>();
   private final Set<String> cut = new HashSet<>();
   private final Map<String, List<Runnable>> heldBack = new HashMap<>();
+  private final Map<String, Long> streams = new HashMap<>();
+  private final Map<String, Double> slowness = new HashMap<>();
   double loss;
 
   SimNet(VirtualClock clock, Random random) {
@@ -103,12 +105,35 @@
         });
   }
 
+  /** One direction of a connection: what is lost is sent again, and nothing overtakes. */
+  void stream(String from, String to, double lost, Runnable arrive) {
+    long delay = 1 + random.nextInt(random.nextInt(50) == 0 ? 200 : 6);
+    while (random.nextDouble() < lost) {
+      delay += 200 + random.nextInt(300);
+    }
+    long at = Math.max(clock.now() + delay, streams.getOrDefault(from + ">" + to, 0L));
+    streams.put(from + ">" + to, at);
+    String pair = pair(from, to);
+    if (cut.contains(pair)) {
+      heldBack.computeIfAbsent(pair, p -> new ArrayList<>()).add(arrive);
+    } else {
+      clock.after(at - clock.now(), arrive);
+    }
+  }
+
+  /** What goes to or comes from an address takes so many times as long. */
+  void slow(String address, double factor) {
+    slowness.put(address, factor);
+  }
+
   private void carry(String from, String to, Runnable arrive) {
+    double slow = Math.max(slowness.getOrDefault(from, 1.0), slowness.getOrDefault(to, 1.0));
     String pair = pair(from, to);
     if (cut.contains(pair)) {
       heldBack.computeIfAbsent(pair, p -> new ArrayList<>()).add(arrive);
     } else if (random.nextDouble() >= loss) {
-      clock.after(1 + random.nextInt(random.nextInt(50) == 0 ? 400 : 6), arrive);
+      long delay = 1 + random.nextInt(random.nextInt(50) == 0 ? 400 : 6);
+      clock.after((long) (slow * delay), arrive);
     } else {
       // "Lost" means late: it may arrive long after its sender gave up.
       clock.after(3000 + random.nextInt(60_000), arrive);
--- /dev/null
+++ b/src/test/java/dunlincroft/sim/TakeoverTest.java
@@ -0,0 +1,251 @@
+package dunlincroft.sim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dunlincroft.operators.Policy;
+import dunlincroft.protocol.JobSpec;
+import dunlincroft.protocol.Malformed;
+import dunlincroft.sim.SimCluster.Size;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Controllers that fail beside machines that fail: five of them, some sixty machines. */
+class TakeoverTest {
+  private static final long FAULT_MS = 30_000;
+
+  /** What happens at one moment; each day checks every rule and ends every job. */
+  private enum Fault {
+    LINKS_REFUSED_AS_THE_BUSIEST_CRASHES(
+        cluster -> {
+          cluster.refuseLinks(20_000);
+          cluster.crashHolder(30_000);
+        }),
+    BUSIEST_CUT_FROM_WORKERS(cluster -> cluster.cutHolderFromWorkers(25_000)),
+    BUSIEST_CUT_FROM_STATE(cluster -> cluster.cutHolder(25_000)),
+    BUSIEST_CUT_FROM_CONTROLLERS(cluster -> cluster.cutHolderFromControllers(25_000)),
+    HOLDER_PAUSES_1S(cluster -> cluster.freezeHolder(1000)),
+    HOLDER_PAUSES_5S(cluster -> cluster.freezeHolder(5000)),
+    HOLDER_PAUSES_40S(cluster -> cluster.freezeHolder(40_000)),
+    SUCCESSORS_PAUSE_TOO(
+        cluster -> {
+          cluster.crashHolder(30_000);
+          cluster.clock.after(700, () -> cluster.freezeAll(3000));
+        }),
+    TWO_FAIL_WITHIN_A_SECOND(
+        cluster -> {
+          cluster.crashHolder(30_000);
+          cluster.clock.after(500, () -> cluster.crash(3, 20_000));
+        }),
+    ALL_FIVE(
+        cluster -> {
+          for (int node = 0; node < cluster.nodeCount(); node++) {
+            cluster.crash(node, 4000 + 100L * node);
+          }
+        }),
+    ONE_AFTER_THE_OTHER(
+        cluster -> {
+          for (int node = 0; node < cluster.nodeCount(); node++) {
+            int each = node;
+            cluster.clock.after(5000L * node, () -> cluster.crash(each, 4000));
+          }
+        }),
+    ONE_FLAPS(
+        cluster -> {
+          for (int i = 0; i < 8; i++) {
+            cluster.clock.after(4000L * i, () -> cluster.crash(0, 2000));
+          }
+        }),
+    ZONE_CUT_WITH_ITS_CONTROLLERS(cluster -> cluster.cutZone("a", 40_000)),
+    MACHINES_DIE_AS_THE_BUSIEST_DOES(
+        cluster -> {
+          cluster.crashHolder(30_000);
+          List<SimWorker> workers = List.copyOf(cluster.cloud.machines.values());
+          for (int i = 0; i < workers.size(); i += 4) {
+            SimWorker worker = workers.get(i);
+            if (i % 8 == 0) {
+              cluster.cloud.machines.remove(worker.host);
+              worker.die();
+            } else {
+              worker.hang(15_000);
+            }
+          }
+        }),
+    STATE_SLOW_AS_THE_BUSIEST_CRASHES(
+        cluster -> {
+          cluster.slowState(30, 20_000);
+          cluster.clock.after(2000, () -> cluster.crashHolder(30_000));
+        });
+
+    private final Consumer<SimCluster> act;
+
+    Fault(Consumer<SimCluster> act) {
+      this.act = act;
+    }
+  }
+
+  private static SimCluster busy(long seed) throws Malformed {
+    return busy(seed, Policy.PRESET);
+  }
+
+  private static SimCluster busy(long seed, Policy policy) throws Malformed {
+    SimCluster cluster = new SimCluster(seed, policy, Size.FLEET);
+    Random random = new Random(seed);
+    for (int i = 0; i < Size.FLEET.jobs(); i++) {
+      JobSpec spec = RulesTest.job(random, i);
+      long cancelAfter = spec.daemon() ? 100_000 : 0;
+      cluster.clock.after(5000 + 300L * i, () -> cluster.user(spec, cancelAfter));
+    }
+    return cluster;
+  }
+
+  private static void rulesHold(SimCluster cluster) {
+    assertThat(cluster.checks.broken).isEmpty();
+    assertThat(cluster.checks.accepted).hasSize(cluster.jobs());
+    assertThat(cluster.checks.toldFinal).as("every job ends").hasSize(cluster.jobs());
+  }
+
+  @ParameterizedTest
+  @EnumSource(Fault.class)
+  void rulesHoldWhenControllersAndMachinesFail(Fault fault) throws Malformed {
+    SimCluster cluster = busy(11);
+    cluster.clock.after(FAULT_MS, () -> fault.act.accept(cluster));
+    cluster.clock.runUntil(FAULT_MS - 1000);
+    assertThat(cluster.cloud.machines).hasSizeGreaterThan(20);
+    cluster.clock.runUntil(600_000);
+    rulesHold(cluster);
+  }
+
+  /** Several holders: each of the failed ones has shards, machines and jobs. */
+  @ParameterizedTest
+  @EnumSource(
+      value = Fault.class,
+      names = {
+        "TWO_FAIL_WITHIN_A_SECOND",
+        "ONE_AFTER_THE_OTHER",
+        "ZONE_CUT_WITH_ITS_CONTROLLERS",
+        "MACHINES_DIE_AS_THE_BUSIEST_DOES"
+      })
+  void rulesHoldWithSeveralHolders(Fault fault) throws Malformed {
+    SimCluster cluster = busy(12, Policy.parse("holder_machines = 12;"));
+    cluster.clock.after(FAULT_MS, () -> fault.act.accept(cluster));
+    cluster.clock.runUntil(500_000);
+    rulesHold(cluster);
+  }
+
+  /** The successor stops or stands still in the middle of its takeover, at each of its steps. */
+  @ParameterizedTest
+  @CsvSource({"0,false", "40,true", "150,false", "400,true", "1000,false", "2500,true"})
+  void aTakeoverCutOffIsTakenOver(long after, boolean still) throws Malformed {
+    SimCluster cluster = busy(13);
+    cluster.clock.runUntil(FAULT_MS);
+    String first = cluster.holderName();
+    cluster.crashHolder(60_000);
+    long until = cluster.clock.now() + 4000;
+    while (cluster.holderName().equals(first) && cluster.clock.now() < until) {
+      cluster.clock.runUntil(cluster.clock.now() + 10);
+    }
+    String second = cluster.holderName();
+    assertThat(second).isNotEqualTo(first);
+    cluster.clock.runUntil(cluster.clock.now() + after);
+    int node = cluster.nodeIndex(second);
+    if (still) {
+      cluster.freeze(node, 30_000);
+    } else {
+      cluster.crash(node, 30_000);
+    }
+    cluster.clock.runUntil(cluster.clock.now() + 5000);
+    assertThat(cluster.holderName()).isNotIn(first, second);
+    int before = cluster.checks.starts;
+    cluster.clock.runUntil(cluster.clock.now() + 6000);
+    assertThat(cluster.checks.starts).as("the third starts work").isGreaterThan(before);
+    cluster.clock.runUntil(600_000);
+    rulesHold(cluster);
+  }
+
+  /**
+   * A crash is told from a pause by refused connections; starts go on within a second and a half.
+   */
+  @Test
+  void aCrashedHolderIsSucceededAtOnceAndLosesNoMachine() throws Malformed {
+    SimCluster cluster = busy(14);
+    cluster.clock.runUntil(FAULT_MS);
+    String first = cluster.holderName();
+    cluster.crashHolder(60_000);
+    cluster.clock.runUntil(FAULT_MS + 1100);
+    assertThat(cluster.holderName()).isNotEqualTo(first);
+    int before = cluster.checks.starts;
+    cluster.clock.runUntil(FAULT_MS + 1600);
+    assertThat(cluster.checks.starts).as("starts by the successor").isGreaterThan(before);
+    cluster.clock.runUntil(FAULT_MS + 20_000);
+    assertThat(cluster.cloud.tasksReleased).isZero();
+    assertThat(cluster.checks.broken).isEmpty();
+  }
+
+  /**
+   * After a restart of all, what the dead lives held is taken up without waiting for their ends.
+   */
+  @Test
+  void afterARestartOfAllTheLeaderAndTheHolderGoOn() throws Malformed {
+    SimCluster cluster = busy(17);
+    cluster.clock.runUntil(FAULT_MS);
+    for (int node = 0; node < cluster.nodeCount(); node++) {
+      cluster.crash(node, 1000);
+    }
+    cluster.clock.runUntil(FAULT_MS + 2500);
+    JsonNode leader = cluster.state.under("d/leader/").get("one");
+    JsonNode there = cluster.state.under("d/controllers/").get(leader.path("name").asText());
+    assertThat(leader.path("incarnation")).isEqualTo(there.path("incarnation"));
+    int before = cluster.checks.starts;
+    cluster.clock.runUntil(FAULT_MS + 4000);
+    assertThat(cluster.checks.starts).isGreaterThan(before);
+    cluster.clock.runUntil(FAULT_MS + 20_000);
+    assertThat(cluster.cloud.tasksReleased).isZero();
+    assertThat(cluster.checks.broken).isEmpty();
+  }
+
+  /** Links that lose packets, and links that a filter refuses, are nobody's failure. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.05, 0.2, 1})
+  void aHolderWithBadLinksKeepsItsShard(double loss) throws Malformed {
+    SimCluster cluster = busy(15);
+    cluster.clock.runUntil(FAULT_MS);
+    String first = cluster.holderName();
+    if (loss < 1) {
+      cluster.loseOnLinks(cluster.nodeIndex(first), loss);
+    } else {
+      cluster.refuseLinks(40_000);
+    }
+    for (int i = 0; i < 80; i++) {
+      cluster.clock.runUntil(cluster.clock.now() + 500);
+      assertThat(cluster.holderName()).isEqualTo(first);
+    }
+    cluster.clock.runUntil(600_000);
+    rulesHold(cluster);
+  }
+
+  /**
+   * A zone is cut for twice as long as its workers' leases last: its services are started elsewhere
+   * in the second half of the lease, and a cut that is over sooner costs nothing.
+   */
+  @ParameterizedTest
+  @CsvSource({"5500,false", "40000,true"})
+  void servicesOfACutZoneStartElsewhere(long ms, boolean released) throws Malformed {
+    SimCluster cluster = busy(16);
+    cluster.clock.runUntil(FAULT_MS);
+    String zone = cluster.zoneWithoutTheHolder();
+    cluster.cutZone(zone, ms);
+    cluster.clock.runUntil(FAULT_MS + 5500);
+    assertThat(cluster.cloud.tasksReleased).as("in the first half").isZero();
+    cluster.clock.runUntil(FAULT_MS + 17_500);
+    assertThat(cluster.cloud.tasksReleased > 0).isEqualTo(released);
+    cluster.clock.runUntil(600_000);
+    rulesHold(cluster);
+  }
+}
--- a/src/test/java/dunlincroft/transport/LoopbackTest.java
+++ b/src/test/java/dunlincroft/transport/LoopbackTest.java
@@ -56,9 +56,12 @@
   @Property(seed = "5", tries = 100)
   void beatsSurviveTheLink(
       @ForAll @AlphaChars String node, @ForAll long incarnation, @ForAll long silent) {
-    PeerLink link = new PeerLink(env, () -> null, beat -> {});
-    List<String> unheard = silent % 2 == 0 ? List.of() : List.of(node, "other");
-    Beat beat = new Beat(node, incarnation, silent, silent / 3.0, incarnation / 7.0, unheard);
+    PeerLink link = new PeerLink(env, () -> null, beat -> {}, (other, refused) -> {});
+    boolean odd = silent % 2 != 0;
+    List<Beat.Hearing> hearings =
+        odd ? List.of() : List.of(new Beat.Hearing(node, silent, silent / 2, odd, !odd, odd));
+    Beat beat =
+        new Beat(node, incarnation, silent, silent / 3.0, incarnation / 7.0, silent, hearings);
     assertThat(link.decode(link.encode(beat))).isEqualTo(beat);
   }
 }
