Services leave a lost zone's room where their images are; who was cut off accuses nobody

And a controller that came back with its zone took the shard of a healthy holder: its zone's workers had missed that holder, and the others are heard one by one.

Change: among machines alike in warmth services prefer those on which a third stays free for another zone's (other work uses it meanwhile), they stop work where their image is before lesser work elsewhere, consolidation keeps the same room. Who hears less than half of the others, or did a moment ago, suspects nobody by workers' word. Fetches crowd as before.

--- a/src/main/java/dunlincroft/coordination/Clearing.java
+++ b/src/main/java/dunlincroft/coordination/Clearing.java
@@ -166,6 +166,7 @@
               .filter(other -> other != machine && other.shard.equals(machine.shard))
               .filter(other -> world.usable(other) && world.allows(spec, other))
               .filter(other -> !spec.daemon() || other.warmth(spec.bundle()) == Machine.Warmth.WARM)
+              .filter(other -> !spec.daemon() || other.leavesRoomForAZone(spec.room()))
               .filter(
                   other ->
                       other.hall.equals(machine.hall)
--- a/src/main/java/dunlincroft/coordination/Machine.java
+++ b/src/main/java/dunlincroft/coordination/Machine.java
@@ -51,6 +51,9 @@
 
   private int daemons;
 
+  /** What the services among them take. */
+  private Room serving = Room.NONE;
+
   /** Images that a task ran from here, as far as this holder saw. */
   private final Set<String> images = new HashSet<>();
 
@@ -132,7 +135,10 @@
   void add(Placement p) {
     placed.put(p.piece(), p);
     booked = booked.plus(p.job.spec.room());
-    daemons += p.job.spec.daemon() ? 1 : 0;
+    if (p.job.spec.daemon()) {
+      daemons++;
+      serving = serving.plus(p.job.spec.room());
+    }
     String image = p.job.spec.bundle();
     if (byImage.addTo(image, 1) == 0 && !images.contains(image)) {
       fetching++;
@@ -142,7 +148,10 @@
   void remove(Placement p) {
     if (placed.remove(p.piece(), p)) {
       booked = booked.minus(p.job.spec.room());
-      daemons -= p.job.spec.daemon() ? 1 : 0;
+      if (p.job.spec.daemon()) {
+        daemons--;
+        serving = serving.minus(p.job.spec.room());
+      }
       String image = p.job.spec.bundle();
       if (byImage.addTo(image, -1) == 1) {
         byImage.removeInt(image);
@@ -169,11 +178,6 @@
     return fetching == 0 ? Warmth.COLD : Warmth.CROWDED;
   }
 
-  /** How many images are being fetched, as far as placements tell. */
-  int fetching() {
-    return fetching;
-  }
-
   Room used() {
     return booked.plus(strays);
   }
@@ -191,6 +195,15 @@
     return placed.isEmpty() && pieces.stream().allMatch(WorkerReport.Piece::exited);
   }
 
+  /**
+   * Whether one more such replica leaves room for what services of a lost zone would bring: with
+   * three zones, a third of the machine, which other work may use until then.
+   */
+  boolean leavesRoomForAZone(Room replica) {
+    int zones = type.halls().size();
+    return zones < 2 || serving.plus(replica).times(zones).fits(type.room().times(zones - 1));
+  }
+
   boolean hasDaemon() {
     return daemons > 0;
   }
--- a/src/main/java/dunlincroft/coordination/Scheduler.java
+++ b/src/main/java/dunlincroft/coordination/Scheduler.java
@@ -246,7 +246,7 @@
     Map<Warmth, List<Machine>> groups = new EnumMap<>(Warmth.class);
     for (Machine machine : walk) {
       Warmth warmth = machine.warmth(job.spec.bundle());
-      if (warmth != Warmth.CROWDED || mayCrowd(job, machine)) {
+      if (warmth != Warmth.CROWDED || mayCrowd(job)) {
         groups.computeIfAbsent(warmth, w -> new ArrayList<>()).add(machine);
       }
     }
@@ -256,7 +256,8 @@
   /**
    * Machines with room for a task, clockwise from the image's hash. Work that may use spot machines
    * goes there first and to those with services last; services stay together, so that other
-   * machines can be returned.
+   * machines can be returned, but leave the room that a lost zone's services would need where their
+   * images are.
    */
   private List<Machine> candidates(JobRun job) {
     boolean spot = world.spot(job.spec);
@@ -269,7 +270,8 @@
         continue;
       }
       if (job.spec.daemon()) {
-        (machine.hasDaemon() ? first : second).add(machine);
+        boolean spare = machine.leavesRoomForAZone(job.spec.room());
+        (!machine.hasDaemon() ? second : spare ? first : third).add(machine);
       } else if (spot) {
         (machine.lendable ? first : machine.hasDaemon() ? third : second).add(machine);
       } else {
@@ -281,14 +283,10 @@
     return first;
   }
 
-  /**
-   * Each fetch that a machine has under way already is one more reason to wait: services of a lost
-   * zone come all at once, and five fetches begun together all end when the last one would.
-   */
-  private boolean mayCrowd(JobRun job, Machine machine) {
+  private boolean mayCrowd(JobRun job) {
     return job.spec.rank() == Rank.PROD
         && job.waitingSince >= 0
-        && world.now() - job.waitingSince > Constants.CROWD_AFTER_MS * machine.fetching();
+        && world.now() - job.waitingSince > Constants.CROWD_AFTER_MS;
   }
 
   private int fill(JobRun job, Machine machine, int most, boolean buffered, long now) {
@@ -383,10 +381,11 @@
         left -= evictions(job, machine, guaranteed, within, now, evictions);
       }
     }
+    // A fetch makes a service wait for longer than any work that yields to it takes to be redone.
+    Comparator<Eviction> warmth = Comparator.comparing(e -> !e.warm);
+    Comparator<Eviction> rank = Comparator.comparing((Eviction e) -> e.rank).reversed();
     evictions.sort(
-        Comparator.comparing((Eviction e) -> e.rank)
-            .reversed()
-            .thenComparing(e -> !e.warm)
+        (job.spec.daemon() ? warmth.thenComparing(rank) : rank.thenComparing(warmth))
             .thenComparingLong(e -> e.lostMs));
     for (Eviction eviction : evictions) {
       if (left-- <= 0) {
@@ -425,7 +424,7 @@
       long now,
       List<Eviction> into) {
     Warmth warmth = machine.warmth(job.spec.bundle());
-    if (warmth == Warmth.CROWDED && !mayCrowd(job, machine)) {
+    if (warmth == Warmth.CROWDED && !mayCrowd(job)) {
       return 0;
     }
     Room room = job.spec.room();
--- a/src/main/java/dunlincroft/membership/Custody.java
+++ b/src/main/java/dunlincroft/membership/Custody.java
@@ -193,8 +193,9 @@
           taking = false;
           takeDueAt.remove(shard);
           accusations.forget(shard);
-          takenFrom.put(shard, from);
-          if (!result.ok()) {
+          if (result.ok()) {
+            takenFrom.put(shard, from);
+          } else {
             LOG.info("shard {} not taken: {}", shard, result.outcome());
             nextTake = local.now() + Constants.TAKEOVER_PAUSE_MS / 2;
             local.feed().barrier(ok -> {});
--- a/src/main/java/dunlincroft/membership/FailureDetector.java
+++ b/src/main/java/dunlincroft/membership/FailureDetector.java
@@ -50,6 +50,8 @@
   private int unwell;
 
   private long healedAt;
+  private long lonelyAt = Long.MIN_VALUE / 2;
+  private boolean lonely;
 
   public FailureDetector(String self, Collection<String> others, long nowMs) {
     this.self = self;
@@ -144,6 +146,11 @@
       healedAt = nowMs;
     }
     peers.forEach((node, peer) -> judge(node, peer, nowMs));
+    long heard = peers.values().stream().filter(peer -> peer.trust == Trust.TRUSTED).count();
+    if (2 * heard < peers.size()) {
+      lonelyAt = nowMs;
+    }
+    lonely = nowMs - lonelyAt < Constants.PEER_LOST_MS;
   }
 
   private void judge(String node, Peer peer, long nowMs) {
@@ -238,10 +245,13 @@
     return peer == null ? null : peer.beat;
   }
 
-  /** Whether we hear less than half of the others: then it is probably we who are in trouble. */
+  /**
+   * Whether we hear less than half of the others, or did a moment ago: then it is probably we who
+   * are in trouble. After a cut of ours the others are heard again one by one, and the last of them
+   * has not failed.
+   */
   boolean lonely() {
-    long heard = peers.values().stream().filter(peer -> peer.trust == Trust.TRUSTED).count();
-    return 2 * heard < peers.size();
+    return lonely;
   }
 
   /** What we tell others of everybody. */
--- a/src/main/java/dunlincroft/membership/Leadership.java
+++ b/src/main/java/dunlincroft/membership/Leadership.java
@@ -66,10 +66,11 @@
     String why = null;
     if (item() != null) {
       seenAt = now;
-      if (leader().equals(local.name()) && !leads()) {
+      String leader = leader();
+      if (local.name().equals(leader) && !leads()) {
         why = "we did before our restart";
-      } else if (holdsMachines && detector.trust(leader()) == Trust.CONDEMNED) {
-        why = leader() + " is condemned and we hold its machines";
+      } else if (holdsMachines && leader != null && detector.trust(leader) == Trust.CONDEMNED) {
+        why = leader + " is condemned and we hold its machines";
       }
     } else if (holdsMachines || now - seenAt >= Constants.ELECTION_DELAY_MS) {
       why = "nobody does";
--- a/src/main/java/dunlincroft/membership/Membership.java
+++ b/src/main/java/dunlincroft/membership/Membership.java
@@ -63,9 +63,13 @@
   public void tick() {
     detector.tick(local.now());
     refute();
-    if (hold.tenancy() == 0
-        || !local.feed().synced()
-        || local.feed().silentMs() > Constants.STALE_MS) {
+    if (local.feed().silentMs() > Constants.STALE_MS) {
+      // Cut off ourselves, perhaps with our zone: that its workers do not reach a holder elsewhere
+      // says nothing about the holder.
+      accusations.forgetAll();
+      return;
+    }
+    if (hold.tenancy() == 0 || !local.feed().synced()) {
       return;
     }
     hold.announce();
--- a/src/test/java/dunlincroft/membership/FailureDetectorTest.java
+++ b/src/test/java/dunlincroft/membership/FailureDetectorTest.java
@@ -109,6 +109,12 @@
     }
     assertThat(detector.lonely()).isTrue();
     OTHERS.forEach(other -> assertThat(detector.trust(other)).isEqualTo(Trust.SUSPECTED));
+    // The cut was ours and ends: b, heard a moment later than the others, has not failed.
+    now = settled(detector, List.of("c", "d", "e"), now, now + 1000);
+    assertThat(detector.trust("b")).isEqualTo(Trust.SUSPECTED);
+    assertThat(detector.lonely()).isTrue();
+    settled(detector, List.of("c", "d", "e"), now, now + 3000);
+    assertThat(detector.lonely()).isFalse();
   }
 
   @Test
--- a/src/test/java/dunlincroft/sim/TakeoverTest.java
+++ b/src/test/java/dunlincroft/sim/TakeoverTest.java
@@ -175,6 +175,9 @@
   @Test
   void aCrashedHolderIsSucceededAtOnceAndLosesNoMachine() throws Malformed {
     SimCluster cluster = busy(14);
+    // There is always something that waits for room.
+    JobSpec many = RulesTest.simple("run-many", "blue", 4000, 1);
+    cluster.clock.after(15_000, () -> cluster.user(many, 0));
     cluster.clock.runUntil(FAULT_MS);
     String first = cluster.holderName();
     cluster.crashHolder(60_000);
