--- a/src/test/java/dunlincroft/membership/Histories.java
+++ b/src/test/java/dunlincroft/membership/Histories.java
@@ -1,13 +1,13 @@
 package dunlincroft.membership;
 
 import dunlincroft.Constants;
+import dunlincroft.sim.VirtualClock;
 import dunlincroft.transport.Beat;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 
@@ -65,21 +65,14 @@
     }
   }
 
-  private record Event(long at, long order, Runnable what) {}
-
   private final Kind kind;
   private final Random random;
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(
-          (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private final VirtualClock clock = new VirtualClock();
   private final List<Node> nodes = new ArrayList<>();
 
   /** The new detector's verdicts, then those of each fixed wait. */
   private final List<Verdicts> verdicts = new ArrayList<>();
 
-  private long now = 1_000_000;
-  private long order;
-
   /** One controller's clockwork, as {@code Controller} and {@code PeerLink} drive it. */
   private final class Node {
     final String name;
@@ -97,56 +90,56 @@
       for (int i = 0; i < NODES; i++) {
         if (i != number) {
           others.add("n" + i);
-          heardAt.put("n" + i, now);
+          heardAt.put("n" + i, clock.now());
         }
       }
-      detector = new FailureDetector(name, others, now);
-      lastTick = now;
+      detector = new FailureDetector(name, others, clock.now());
+      lastTick = clock.now();
     }
 
     /** Runs at once, or when the pause is over; not at all if the node is down. */
     void act(Runnable what) {
-      if (stillUntil > now) {
-        after(stillUntil - now, () -> act(what));
+      if (stillUntil > clock.now()) {
+        clock.after(stillUntil - clock.now(), () -> act(what));
       } else if (downSince < 0) {
         what.run();
       }
     }
 
     void beat() {
-      after(late(Constants.LINK_BEAT_MS), () -> act(this::beat));
+      clock.after(late(Constants.LINK_BEAT_MS), () -> act(this::beat));
       for (Node other : nodes) {
         if (other != this) {
           detector.refused(other.name, other.downSince >= 0);
-          Beat beat = new Beat(name, 1, 0, 0, 0, 0, detector.hearings(now));
+          Beat beat = new Beat(name, 1, 0, 0, 0, 0, detector.hearings(clock.now()));
           long delay = 1 + random.nextInt(5);
           while (random.nextDouble() < kind.loss) {
             delay += 200 + random.nextInt(300);
           }
-          long at = Math.max(now + delay, streams.getOrDefault(name + other.name, 0L));
+          long at = Math.max(clock.now() + delay, streams.getOrDefault(name + other.name, 0L));
           streams.put(name + other.name, at);
-          after(at - now, () -> other.act(() -> other.heard(beat)));
+          clock.after(at - clock.now(), () -> other.act(() -> other.heard(beat)));
         }
       }
     }
 
     void heard(Beat beat) {
-      detector.heard(beat, now);
-      heardAt.put(beat.node(), now);
+      detector.heard(beat, clock.now());
+      heardAt.put(beat.node(), clock.now());
       beats.put(beat.node(), beat);
     }
 
     void tick() {
-      after(late(TICK_MS), () -> act(this::tick));
-      long stood = now - lastTick - TICK_MS;
-      lastTick = now;
+      clock.after(late(TICK_MS), () -> act(this::tick));
+      long stood = clock.now() - lastTick - TICK_MS;
+      lastTick = clock.now();
       if (stood > Constants.STOOD_STILL_MS) {
-        detector.stoodStill(stood, now);
-        heardAt.replaceAll((node, at) -> Math.min(now, at + stood));
+        detector.stoodStill(stood, clock.now());
+        heardAt.replaceAll((node, at) -> Math.min(clock.now(), at + stood));
       } else if (stood > Constants.LATE_MS) {
-        detector.late(now);
+        detector.late(clock.now());
       }
-      detector.tick(now);
+      detector.tick(clock.now());
       for (Node other : nodes) {
         if (other != this) {
           judged(other);
@@ -164,19 +157,19 @@
         if (!condemned) {
           standing.remove(verdict);
         } else if (standing.add(verdict)) {
-          verdicts.get(i).count(other.downSince, now);
+          verdicts.get(i).count(other.downSince, clock.now());
         }
       }
     }
 
     /** As it was with 2.2 s: most controllers, we among them, have heard nothing for so long. */
     private boolean fixedWait(String node, long ms) {
-      if (now - heardAt.get(node) <= ms) {
+      if (clock.now() - heardAt.get(node) <= ms) {
         return false;
       }
       long say =
           beats.values().stream()
-              .filter(beat -> now - heardAt.get(beat.node()) <= 900)
+              .filter(beat -> clock.now() - heardAt.get(beat.node()) <= 900)
               .flatMap(beat -> beat.hearings().stream())
               .filter(hearing -> hearing.node().equals(node))
               .filter(hearing -> hearing.silentMs() > ms)
@@ -195,10 +188,6 @@
     }
   }
 
-  private void after(long ms, Runnable what) {
-    events.add(new Event(now + Math.max(0, ms), order++, what));
-  }
-
   private long late(long ms) {
     double factor = 1 + 0.02 * random.nextDouble();
     boolean hiccup = kind.slowness > 1 && random.nextInt(10) == 0;
@@ -212,38 +201,29 @@
       history.nodes.add(history.new Node(i));
     }
     for (Node node : history.nodes) {
-      history.after(history.random.nextInt(300), () -> node.act(node::beat));
-      history.after(history.random.nextInt(200), () -> node.act(node::tick));
+      history.clock.after(history.random.nextInt(300), () -> node.act(node::beat));
+      history.clock.after(history.random.nextInt(200), () -> node.act(node::tick));
       if (kind.pauseMost > 0) {
         history.pauseSometimes(node);
       }
     }
-    long crash = history.now + seconds * 1000;
-    history.run(crash);
-    history.nodes.get(0).downSince = history.now;
-    history.run(crash + 10_000);
+    long crash = history.clock.now() + seconds * 1000;
+    history.clock.runUntil(crash);
+    history.nodes.get(0).downSince = history.clock.now();
+    history.clock.runUntil(crash + 10_000);
     return history.verdicts;
   }
 
   private void pauseSometimes(Node node) {
-    after(
+    clock.after(
         5000 + random.nextInt(30_000),
         () -> {
           node.stillUntil =
-              now + kind.pauseLeast + random.nextInt(kind.pauseMost - kind.pauseLeast);
+              clock.now() + kind.pauseLeast + random.nextInt(kind.pauseMost - kind.pauseLeast);
           pauseSometimes(node);
         });
   }
 
-  private void run(long until) {
-    while (!events.isEmpty() && events.peek().at <= until) {
-      Event event = events.poll();
-      now = event.at;
-      event.what.run();
-    }
-    now = until;
-  }
-
   /** Prints the table of docs/membership.md: hours of each kind of history. */
   public static void main(String[] args) {
     int plays = 48;
--- a/src/test/java/dunlincroft/sim/VirtualClock.java
+++ b/src/test/java/dunlincroft/sim/VirtualClock.java
@@ -3,7 +3,7 @@
 import java.util.PriorityQueue;
 
 /** Simulated time: events run in order of time, then of their making. */
-final class VirtualClock {
+public final class VirtualClock {
   private record Event(long at, long order, Runnable what) {}
 
   private final PriorityQueue<Event> events =
@@ -12,15 +12,15 @@
   private long now;
   private long order;
 
-  long now() {
+  public long now() {
     return now;
   }
 
-  void after(long ms, Runnable what) {
+  public void after(long ms, Runnable what) {
     events.add(new Event(now + Math.max(0, ms), order++, what));
   }
 
-  void runUntil(long end) {
+  public void runUntil(long end) {
     while (!events.isEmpty() && events.peek().at <= end) {
       Event event = events.poll();
       now = event.at;
