Rounds walk open machines only; evictions keep the few that are needed instead of sorting all

Change: a bounded heap of evictions ordered by one number; rules of the operators worked out once for a machine or job; machines that cannot hold the smallest waiting task are marked once a round; no round where nothing waits; the ring is sorted by radix, without an object for each point.

Rules hold (RulesTest).

--- a/src/main/java/dunlincroft/coordination/Clearing.java
+++ b/src/main/java/dunlincroft/coordination/Clearing.java
@@ -164,7 +164,7 @@
       Machine to =
           world.machines.values().stream()
               .filter(other -> other != machine && other.shard.equals(machine.shard))
-              .filter(other -> world.usable(other) && world.allows(spec, other))
+              .filter(other -> world.usable(other) && world.allows(p.job, other))
               .filter(other -> !spec.daemon() || other.warmth(spec.bundle()) == Machine.Warmth.WARM)
               .filter(other -> !spec.daemon() || other.leavesRoomForAZone(spec.room()))
               .filter(
--- a/src/main/java/dunlincroft/coordination/JobRun.java
+++ b/src/main/java/dunlincroft/coordination/JobRun.java
@@ -101,6 +101,13 @@
   final BitSet done = new BitSet();
   final Int2ObjectLinkedOpenHashMap<Placement> placed = new Int2ObjectLinkedOpenHashMap<>();
   final Object2IntOpenHashMap<String> perZone = new Object2IntOpenHashMap<>();
+
+  /** Whether it may go to spot machines, once somebody asked. */
+  Boolean spot;
+
+  /** What the operators let one of its tasks lose, once somebody asked. */
+  long preemptLossMs = -1;
+
   private final BitSet busy = new BitSet();
 
   /**
--- a/src/main/java/dunlincroft/coordination/Machine.java
+++ b/src/main/java/dunlincroft/coordination/Machine.java
@@ -35,6 +35,15 @@
   String endpoint;
   MachineType type;
 
+  /** Whether some waiting task may have room here, in the present round. */
+  boolean open;
+
+  /** What work leaves free here, worked out for this type; see World.kept. */
+  MachineType keptFor;
+
+  long keptAlways;
+  long keptForServices;
+
   /** Stamp of its block; 0 for a machine that only old records name: it is released, not used. */
   long blockStamp;
 
@@ -186,9 +195,9 @@
     return type == null ? Room.NONE : type.room().minus(used());
   }
 
-  /** A look before the exact one: whether so many processors can be free at all. */
-  boolean mayHave(Room room) {
-    return type != null && type.room().cpu() - booked.cpu() - strays.cpu() >= room.cpu();
+  /** A look before the exact one: whether so many processors can be free beyond those kept. */
+  boolean mayHave(Room room, long kept) {
+    return type != null && type.room().cpu() - booked.cpu() - strays.cpu() - kept >= room.cpu();
   }
 
   boolean empty() {
--- a/src/main/java/dunlincroft/coordination/Placement.java
+++ b/src/main/java/dunlincroft/coordination/Placement.java
@@ -28,6 +28,9 @@
   /** When the worker was first seen to run it. */
   long runsSince;
 
+  /** What stopping it costs the job that looks for room now; for the sort of that look alone. */
+  long cost;
+
   /** Last status the worker reported; null while it reported none. */
   String status;
 
--- a/src/main/java/dunlincroft/coordination/Ring.java
+++ b/src/main/java/dunlincroft/coordination/Ring.java
@@ -2,29 +2,34 @@
 
 import dunlincroft.Constants;
 import dunlincroft.protocol.Hashing;
+import it.unimi.dsi.fastutil.longs.LongArrays;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 
 /** Consistent hashing: machines and images on one ring, walked clockwise from the image. */
 final class Ring {
-  private record Point(long at, int machine) {}
-
   private final List<Machine> machines;
-  private final List<Point> points = new ArrayList<>();
+
+  /** Points in order, and the number of the machine that each belongs to. */
+  private final long[] at;
+
+  private final long[] machineAt;
 
   Ring(Collection<Machine> machines) {
     this.machines = List.copyOf(machines);
+    at = new long[this.machines.size() * Constants.RING_POINTS];
+    machineAt = new long[at.length];
+    int next = 0;
     for (int number = 0; number < this.machines.size(); number++) {
-      for (long at : this.machines.get(number).points) {
-        points.add(new Point(at, number));
+      for (long point : this.machines.get(number).points) {
+        at[next] = point;
+        machineAt[next++] = number;
       }
     }
-    points.sort(
-        Comparator.comparingLong(Point::at)
-            .thenComparing(point -> this.machines.get(point.machine).host));
+    LongArrays.radixSort(at, machineAt);
   }
 
   /** Where a machine stands: a matter of its name alone, so that others' places stay. */
@@ -38,21 +43,12 @@
 
   /** All machines, each once, clockwise from where {@code image} lands. */
   List<Machine> walk(String image) {
-    long from = Hashing.of(image);
-    int low = 0;
-    int high = points.size();
-    while (low < high) {
-      int mid = (low + high) >>> 1;
-      if (points.get(mid).at < from) {
-        low = mid + 1;
-      } else {
-        high = mid;
-      }
-    }
+    int found = Arrays.binarySearch(at, Hashing.of(image));
+    int low = found < 0 ? -found - 1 : found;
     BitSet met = new BitSet(machines.size());
     List<Machine> order = new ArrayList<>(machines.size());
-    for (int i = 0; i < points.size() && order.size() < machines.size(); i++) {
-      int number = points.get((low + i) % points.size()).machine;
+    for (int i = 0; i < at.length && order.size() < machines.size(); i++) {
+      int number = (int) machineAt[(low + i) % at.length];
       if (!met.get(number)) {
         met.set(number);
         order.add(machines.get(number));
--- a/src/main/java/dunlincroft/coordination/Scheduler.java
+++ b/src/main/java/dunlincroft/coordination/Scheduler.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.PriorityQueue;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,6 +37,9 @@
   /** What has been found to be without room in the present round. */
   private final List<Wish> full = new ArrayList<>();
 
+  /** When the present round began. */
+  private long roundAt;
+
   Scheduler(World world, Ledger ledger) {
     this.world = world;
     this.ledger = ledger;
@@ -47,9 +51,9 @@
    */
   Set<Machine> place(boolean services) {
     long now = world.now();
+    roundAt = now;
     Set<Machine> stopped = new LinkedHashSet<>();
     Map<String, Room> teamShare = new HashMap<>();
-    Set<String> within = services ? Set.of() : withinGuarantee();
     Set<String> hastened = new HashSet<>();
     List<JobRun> waiting = new ArrayList<>();
     for (JobRun job : world.jobs.values()) {
@@ -59,8 +63,13 @@
         waiting.add(job);
       }
     }
+    if (waiting.isEmpty()) {
+      return stopped; // As mostly at those who hold no machines.
+    }
+    Set<String> within = services ? Set.of() : withinGuarantee();
     waiting.sort(order(waiting, within));
     full.clear();
+    open(waiting);
     for (JobRun job : waiting) {
       String key = job.shard + "/" + job.spec.owner();
       Room left =
@@ -99,6 +108,23 @@
     return stopped;
   }
 
+  /**
+   * Marks the machines on which the smallest of the waiting tasks could have room: the others are
+   * passed at a glance by every walk of this round, in which room only becomes less.
+   */
+  private void open(List<JobRun> waiting) {
+    Room least = waiting.get(0).spec.room();
+    for (JobRun job : waiting) {
+      least = job.spec.room().cpu() < least.cpu() ? job.spec.room() : least;
+    }
+    for (Machine machine : world.machines.values()) {
+      machine.open =
+          machine.type != null
+              && machine.mayHave(least, world.kept(machine, true))
+              && world.usable(machine, roundAt);
+    }
+  }
+
   // ---- order of waiting work ----
 
   /**
@@ -160,23 +186,24 @@
 
   /** What is free for a job's tasks on a machine, or null when the machine is not for them. */
   private Room roomFor(JobRun job, Machine machine) {
-    return machine.mayHave(job.spec.room()) && suits(job, machine) ? freeFor(job, machine) : null;
+    return machine.mayHave(job.spec.room(), kept(job, machine)) && suits(job, machine)
+        ? freeFor(job, machine)
+        : null;
   }
 
   private boolean suits(JobRun job, Machine machine) {
-    return world.usable(machine)
+    return world.usable(machine, roundAt)
         && machine.shard.equals(job.shard)
-        && world.allows(job.spec, machine)
+        && world.allows(job, machine)
         && !machine.failedJobs.contains(job.id);
   }
 
   private Room freeFor(JobRun job, Machine machine) {
-    Room all = machine.type.room();
-    double kept = 1 - world.policy.bound(machine.type, machine.hall, machine.lendable);
-    if (job.spec.rank() != Rank.PROD && machine.hasDaemon()) {
-      kept += world.policy.reserve(machine.type, machine.hall, machine.lendable);
-    }
-    return machine.free().minus(new Room((long) (all.cpu() * kept), 0, 0));
+    return machine.free().minus(new Room(kept(job, machine), 0, 0));
+  }
+
+  private long kept(JobRun job, Machine machine) {
+    return machine.type == null ? 0 : world.kept(machine, job.spec.rank() == Rank.PROD);
   }
 
   /** Constraints and room of work that found no machine in this round. */
@@ -200,7 +227,7 @@
   }
 
   private int placeJob(JobRun job, int most, long now) {
-    Wish wish = Wish.of(job, world.spot(job.spec));
+    Wish wish = Wish.of(job, world.spot(job));
     if (full.stream().anyMatch(other -> other.covers(wish))) {
       return 0;
     }
@@ -260,12 +287,12 @@
    * images are.
    */
   private List<Machine> candidates(JobRun job) {
-    boolean spot = world.spot(job.spec);
+    boolean spot = world.spot(job);
     List<Machine> first = new ArrayList<>();
     List<Machine> second = new ArrayList<>();
     List<Machine> third = new ArrayList<>();
     for (Machine machine : world.walk(job.spec.bundle())) {
-      Room free = roomFor(job, machine);
+      Room free = machine.open ? roomFor(job, machine) : null;
       if (free == null || !job.spec.room().fits(free)) {
         continue;
       }
@@ -286,7 +313,7 @@
   private boolean mayCrowd(JobRun job) {
     return job.spec.rank() == Rank.PROD
         && job.waitingSince >= 0
-        && world.now() - job.waitingSince > Constants.CROWD_AFTER_MS;
+        && roundAt - job.waitingSince > Constants.CROWD_AFTER_MS;
   }
 
   private int fill(JobRun job, Machine machine, int most, boolean buffered, long now) {
@@ -374,23 +401,19 @@
       return;
     }
     job.nextPreempt = now + (job.spec.rank() == Rank.PROD ? patience : Constants.PREEMPT_PAUSE_MS);
-    List<Eviction> evictions = new ArrayList<>();
+    // Of thousands that could be, the few that are needed: the worst of those kept is on top.
+    PriorityQueue<Eviction> evictions =
+        new PriorityQueue<>(Comparator.comparingLong(eviction -> -eviction.cost));
     int left = need;
     for (Machine machine : world.machines.values()) {
-      if (suits(job, machine)) {
-        left -= evictions(job, machine, guaranteed, within, now, evictions);
+      if (left > 0 && suits(job, machine)) {
+        left -= evictions(job, machine, guaranteed, within, now, left, evictions);
       }
     }
-    // A fetch makes a service wait for longer than any work that yields to it takes to be redone.
-    Comparator<Eviction> warmth = Comparator.comparing(e -> !e.warm);
-    Comparator<Eviction> rank = Comparator.comparing((Eviction e) -> e.rank).reversed();
-    evictions.sort(
-        (job.spec.daemon() ? warmth.thenComparing(rank) : rank.thenComparing(warmth))
-            .thenComparingLong(e -> e.lostMs));
+    while (evictions.size() > Math.max(0, left)) {
+      evictions.poll();
+    }
     for (Eviction eviction : evictions) {
-      if (left-- <= 0) {
-        break;
-      }
       for (Placement p : eviction.victims) {
         LOG.info(
             "{} on host {} is stopped to make room for job {} ({})",
@@ -410,11 +433,27 @@
    * job start. Room in pieces on several machines would serve nobody but those who wait for less,
    * and be stopped for again.
    */
-  private record Eviction(List<Placement> victims, Rank rank, boolean warm, long lostMs) {}
+  private record Eviction(List<Placement> victims, long cost) {}
+
+  /**
+   * What an eviction costs, for comparison alone: work of lower rank first, for services before
+   * that where the image is, as a fetch makes one wait for longer than any work that yields to it
+   * takes to be redone; then what is lost.
+   */
+  private static long cost(JobRun job, Rank rank, boolean warm, long lostMs) {
+    long byRank = Rank.values().length - 1 - rank.ordinal();
+    long byWarmth = warm ? 0 : 1;
+    long order =
+        job.spec.daemon() ? byWarmth * Rank.values().length + byRank : 2 * byRank + byWarmth;
+    return (order << LOST_BITS) + Math.min(lostMs, (1L << LOST_BITS) - 1);
+  }
+
+  /** Milliseconds of work lost that a comparison tells apart: some years. */
+  private static final int LOST_BITS = 40;
 
   /**
    * Adds what stopping work on a machine can do for a job, task by task, the least loss first.
-   * Returns how many tasks of it have room there without that.
+   * Returns how many tasks of it have room there without that. Of all, {@code most} are kept.
    */
   private int evictions(
       JobRun job,
@@ -422,7 +461,8 @@
       boolean guaranteed,
       Set<String> within,
       long now,
-      List<Eviction> into) {
+      int most,
+      PriorityQueue<Eviction> into) {
     Warmth warmth = machine.warmth(job.spec.bundle());
     if (warmth == Warmth.CROWDED && !mayCrowd(job)) {
       return 0;
@@ -441,10 +481,8 @@
     if (victims.isEmpty()) {
       return coming;
     }
-    victims.sort(
-        Comparator.comparing((Placement p) -> p.job.spec.rank())
-            .reversed()
-            .thenComparingLong(p -> lost(p, now)));
+    victims.forEach(p -> p.cost = cost(job, p.job.spec.rank(), true, lost(p, now)));
+    victims.sort(Comparator.comparingLong(p -> p.cost));
     free = free.minus(room.times(coming));
     List<Placement> together = new ArrayList<>();
     long lost = 0;
@@ -453,8 +491,13 @@
       lost += lost(p, now);
       free = free.plus(p.job.spec.room());
       if (room.fits(free)) {
-        into.add(
-            new Eviction(List.copyOf(together), p.job.spec.rank(), warmth == Warmth.WARM, lost));
+        long cost = cost(job, p.job.spec.rank(), warmth == Warmth.WARM, lost);
+        if (into.size() < most || cost < into.peek().cost) {
+          into.add(new Eviction(List.copyOf(together), cost));
+          if (into.size() > most) {
+            into.poll();
+          }
+        }
         free = free.minus(room);
         together.clear();
       }
@@ -476,7 +519,7 @@
         && !within.contains(p.job.id)
         && (saves(p)
             ? theirs.flushS() <= Constants.PREEMPT_SAVE_S
-            : lost(p, now) <= world.policy.preemptLossMs(theirs));
+            : lost(p, now) <= world.preemptLossMs(p.job));
   }
 
   private static boolean saves(Placement p) {
--- a/src/main/java/dunlincroft/coordination/World.java
+++ b/src/main/java/dunlincroft/coordination/World.java
@@ -269,9 +269,42 @@
     return spec.lendable() && policy.spot(spec);
   }
 
-  boolean allows(JobSpec spec, Machine machine) {
-    return spec.allows(machine.flavour, machine.hall, machine.lendable)
-        && (!machine.lendable || policy.spot(spec));
+  /** The same, asked for every machine: an expression is worked out once for each job. */
+  boolean spot(JobRun job) {
+    if (job.spot == null) {
+      job.spot = spot(job.spec);
+    }
+    return job.spot;
+  }
+
+  /** Work that one stopped task of a job may lose for another team's guarantee. */
+  long preemptLossMs(JobRun job) {
+    if (job.preemptLossMs < 0) {
+      job.preemptLossMs = policy.preemptLossMs(job.spec);
+    }
+    return job.preemptLossMs;
+  }
+
+  boolean allows(JobRun job, Machine machine) {
+    return job.spec.allows(machine.flavour, machine.hall, machine.lendable)
+        && (!machine.lendable || spot(job));
+  }
+
+  /**
+   * Thousandths of processors of a machine that work leaves free, for the operators' bound and for
+   * services that may come. Worked out once for each machine: the operators' rules rest on its type
+   * and place alone.
+   */
+  long kept(Machine machine, boolean prod) {
+    if (machine.keptFor != machine.type) {
+      machine.keptFor = machine.type;
+      double cpu = machine.type.room().cpu();
+      double bound = policy.bound(machine.type, machine.hall, machine.lendable);
+      double reserve = policy.reserve(machine.type, machine.hall, machine.lendable);
+      machine.keptAlways = (long) (cpu * (1 - bound));
+      machine.keptForServices = (long) (cpu * (1 - bound + reserve));
+    }
+    return prod || !machine.hasDaemon() ? machine.keptAlways : machine.keptForServices;
   }
 
   /** Milliseconds of silence in which a worker misses so many reports. */
@@ -287,7 +320,12 @@
   }
 
   boolean usable(Machine machine) {
-    return machine.usable(now(), reports(Constants.SUSPECT_REPORTS));
+    return usable(machine, now());
+  }
+
+  /** The same at a moment that was read before: reading the clock has its price. */
+  boolean usable(Machine machine, long nowMs) {
+    return machine.usable(nowMs, reports(Constants.SUSPECT_REPORTS));
   }
 
   // ---- teams ----
