Turned-away users count in the wish for the state service's rate; turns scaled to our part

Change: who was told to come again counts in the wish; turns are scaled to our own part; who was here before goes before newcomers where budget is idle.

--- a/src/main/java/dunlincroft/admission/Admission.java
+++ b/src/main/java/dunlincroft/admission/Admission.java
@@ -59,6 +59,9 @@
   private Plan plan;
   private int unplanned;
 
+  /** Where more of the plan's users are at our door than our part of the rate bears: less of it. */
+  private double scale = 1;
+
   /** What flows would get of the present plan if they wanted everything, as far as asked for. */
   private final Map<Flow, Double> entitled = new HashMap<>();
 
@@ -148,6 +151,17 @@
     picture.tells(self, new Load(admits, flows(), List.of()), nowMs);
     plan = plan(picture.demand());
     entitled.clear();
+    double here = 0;
+    for (Flow flow : lines.keySet()) {
+      double all = picture.demand(flow);
+      here += all > 0 ? plan.rate(flow) * picture.demand(self, flow) / all : 0;
+    }
+    scale = here > admits ? admits / here : 1;
+  }
+
+  /** Acceptances a second that those want who were told to come again. */
+  public double waiting() {
+    return lines.values().stream().mapToInt(line -> line.waiting).sum() / Constants.ASKED_S;
   }
 
   /** We stood still: what the others told is as old as that. */
@@ -181,8 +195,9 @@
       overloadedAt = nowMs;
     }
     boolean overload = nowMs - overloadedAt < Constants.OVERLOAD_MS;
-    // What nobody else wants at this moment is used, whoever comes, and counts against no line.
-    if (!overload || waitMs == 0) {
+    // What nobody else wants at this moment is used, whoever comes, and counts against no line:
+    // by those first who were here before.
+    if (!overload || waitMs <= (known ? Constants.ANSWER_MS / 2 : 0)) {
       line.admitted++;
       return Verdict.ADMITTED;
     }
@@ -220,7 +235,8 @@
     double mine = all > 0 ? Math.max(even, picture.demand(self, flow) / all) : even;
     long crowded = lines.values().stream().filter(line -> line.waiting > 0).count();
     double least = admits * Constants.ADMISSION_FLOOR / Math.max(1, crowded);
-    double planned = Math.min(admits, mine * entitled.computeIfAbsent(flow, this::entitled));
+    double planned =
+        Math.min(admits, scale * mine * entitled.computeIfAbsent(flow, this::entitled));
     return Math.max(Math.max(least, Constants.ASKED_LEAST), planned);
   }
 
