--- a/src/test/java/dunlincroft/membership/FailureDetectorTest.java
+++ b/src/test/java/dunlincroft/membership/FailureDetectorTest.java
@@ -79,6 +79,24 @@
     assertThat(detector.trust("b")).isEqualTo(Trust.TRUSTED);
   }
 
+  /**
+   * A process that is back in a fraction of a second has beats of its former life still on their
+   * way. They say nothing of the new one: if that ends, it is not kept alive by them.
+   */
+  @Test
+  void beatsOfAFormerLifeSayNothingOfThisOne() {
+    FailureDetector detector = new FailureDetector("a", OTHERS, 0);
+    long now = settled(detector, OTHERS, 0, 20_000);
+    detector.heard(new Beat("b", 2, 0, 0, 0, 0, List.of()), now);
+    for (int i = 0; i < 30; i++) {
+      detector.heard(new Beat("b", 1, 0, 0, 0, 0, List.of()), now);
+      now = say(detector, of("b", 100, 0, false), now, now + 100);
+    }
+    assertThat(detector.trust("b")).isEqualTo(Trust.SUSPECTED);
+    detector.heard(new Beat("b", 0, 0, 0, 0, 0, List.of()), now);
+    assertThat(detector.trust("b")).as("a third life, before its hold").isEqualTo(Trust.TRUSTED);
+  }
+
   @Test
   void aSuspectRefutesByWayOfAnother() {
     FailureDetector detector = new FailureDetector("a", OTHERS, 0);
--- a/src/test/java/dunlincroft/sim/SimCluster.java
+++ b/src/test/java/dunlincroft/sim/SimCluster.java
@@ -455,6 +455,11 @@
     net.cut(nodeAddress(holder().index), STATE, ms);
   }
 
+  /** Cuts a node off the state service. */
+  void cutFromState(int node, long ms) {
+    net.cut(nodeAddress(node), STATE, ms);
+  }
+
   /** The holder stands still, and goes on with all that lay in its sockets. */
   void freezeHolder(long ms) {
     holder().standStill(ms);
@@ -493,6 +498,11 @@
     nodes.get(node).crash(ms);
   }
 
+  /** What a node answers to the balancer's probe; false while it is gone. */
+  boolean ready(int node) {
+    return nodes.get(node).controller != null && nodes.get(node).controller.ready();
+  }
+
   void crashAll(long ms) {
     nodes.forEach(node -> node.crash(ms));
   }
--- a/src/test/java/dunlincroft/sim/TakeoverTest.java
+++ b/src/test/java/dunlincroft/sim/TakeoverTest.java
@@ -265,6 +265,30 @@
     assertThat(cluster.checks.broken).isEmpty();
   }
 
+  /**
+   * A restart of all is over in a second or two; the balancer would leave out for longer who is not
+   * ready meanwhile. One that restarts beside others leaves its users to them until it has read.
+   */
+  @Test
+  void aCommonRestartLeavesEverybodyReady() throws Malformed {
+    SimCluster cluster = busy(18);
+    cluster.clock.runUntil(FAULT_MS);
+    cluster.slowState(100, 5000);
+    cluster.crashAll(AT_ONCE_MS);
+    cluster.clock.runUntil(FAULT_MS + AT_ONCE_MS + 50);
+    for (int node = 0; node < cluster.nodeCount(); node++) {
+      assertThat(cluster.ready(node)).isTrue();
+    }
+    cluster.clock.runUntil(FAULT_MS + 30_000);
+    cluster.cutFromState(0, 8000);
+    cluster.crash(0, AT_ONCE_MS);
+    cluster.clock.runUntil(FAULT_MS + 31_000);
+    assertThat(cluster.ready(0)).isFalse();
+    assertThat(cluster.ready(1)).isTrue();
+    cluster.clock.runUntil(600_000);
+    rulesHold(cluster);
+  }
+
   /** Links that lose packets, and links that a filter refuses, are nobody's failure. */
   @ParameterizedTest
   @ValueSource(doubles = {0.05, 0.2, 1})
