Half of the wait is open to all; those turned away take nothing from starts

Users turned away counted in the wish for the state service's rate, and took it from the holder, whose ends go before its starts; and newcomers were sent away for seconds where budget was short for a moment.

Change: they count no longer; newcomers are let in below half of the wait that users bear; services look in after 2 s.

--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -491,6 +491,9 @@
   /** Seconds. Nobody is told to wait for longer: a place may be free before its turn. */
   public static final int LOOK_IN_S = 8;
 
+  /** Seconds. The same for services, whose replicas are missed from the first second on. */
+  public static final int LOOK_IN_SERVICE_S = 2;
+
   /** Milliseconds at a line's end kept for those that come again and had no turn yet. */
   public static final long LINE_KEPT_MS = 6000;
 
--- a/src/main/java/dunlincroft/admission/Admission.java
+++ b/src/main/java/dunlincroft/admission/Admission.java
@@ -159,11 +159,6 @@
     scale = here > admits ? admits / here : 1;
   }
 
-  /** Acceptances a second that those want who were told to come again. */
-  public double waiting() {
-    return lines.values().stream().mapToInt(line -> line.waiting).sum() / Constants.ASKED_S;
-  }
-
   /** We stood still: what the others told is as old as that. */
   public void stoodStill() {
     picture.forget();
@@ -195,9 +190,12 @@
       overloadedAt = nowMs;
     }
     boolean overload = nowMs - overloadedAt < Constants.OVERLOAD_MS;
-    // What nobody else wants at this moment is used, whoever comes, and counts against no line:
-    // by those first who were here before.
-    if (!overload || waitMs <= (known ? Constants.ANSWER_MS / 2 : 0)) {
+    // Half of the wait that users bear is open to whoever comes, so that nothing is wasted and a
+    // short crowd is not sent away; the other half is for those who are within their part.
+    if (!overload || waitMs <= Constants.ANSWER_MS / 2) {
+      if (overload && !known) {
+        line.turn = Math.max(line.turn, nowMs) + 1000 / rate(flow);
+      }
       line.admitted++;
       return Verdict.ADMITTED;
     }
@@ -207,7 +205,7 @@
       return Verdict.ADMITTED;
     }
     if (known && !promises.loose(id)) {
-      return refuse(line, due, nowMs);
+      return refuse(flow, line, due, nowMs);
     }
     if (++unplanned >= Constants.PLAN_AFTER) {
       replan(nowMs);
@@ -216,12 +214,12 @@
     double most = nowMs + 1000.0 * Constants.RETRY_AFTER_MOST_S;
     if (turn > (known ? most : most - Constants.LINE_KEPT_MS)) {
       promises.make(id, (long) most, true, nowMs);
-      return refuse(line, (long) most, nowMs);
+      return refuse(flow, line, (long) most, nowMs);
     }
     line.turn = turn;
     line.waiting++;
     promises.make(id, (long) turn, false, nowMs);
-    return refuse(line, (long) turn, nowMs);
+    return refuse(flow, line, (long) turn, nowMs);
   }
 
   /**
@@ -250,11 +248,11 @@
     return Plan.of(picture.capacity(), demand, weight, Constants.ADMISSION_FLOOR);
   }
 
-  private static Verdict refuse(Line line, long dueMs, long nowMs) {
+  private static Verdict refuse(Flow flow, Line line, long dueMs, long nowMs) {
     line.refused++;
     int seconds = (int) Math.ceil((dueMs - nowMs) / 1000.0);
-    return new Verdict(
-        false, Math.max(Constants.RETRY_AFTER_S, Math.min(Constants.LOOK_IN_S, seconds)));
+    int most = flow.prod() ? Constants.LOOK_IN_SERVICE_S : Constants.LOOK_IN_S;
+    return new Verdict(false, Math.max(Constants.RETRY_AFTER_S, Math.min(most, seconds)));
   }
 
   /** The write of one that was let in found no budget after all: it comes again soon. */
@@ -267,7 +265,7 @@
       promises.make(id, nowMs + 1000L * Constants.RETRY_AFTER_S, false, nowMs);
       line.waiting++;
     }
-    return refuse(line, nowMs, nowMs).retryAfterS;
+    return refuse(flow, line, nowMs, nowMs).retryAfterS;
   }
 
   /** It is accepted, or can never be: its promise is kept. */
--- a/src/main/java/dunlincroft/bookkeeping/StateStore.java
+++ b/src/main/java/dunlincroft/bookkeeping/StateStore.java
@@ -75,7 +75,6 @@
   private int backlog;
   private final Meter others = new Meter();
   private double otherWrites;
-  private double turnedAway;
 
   public StateStore(Env env, String address, double rps, double writeRps, Replica replica) {
     this.env = env;
@@ -115,7 +114,7 @@
   /** Our wish since the last call, {@code seconds} ago. */
   public Wish wish(double seconds) {
     otherWrites = others.take(seconds);
-    return new Wish(wishRequests.take(seconds), wishWrites.take(seconds) + backlog + turnedAway);
+    return new Wish(wishRequests.take(seconds), wishWrites.take(seconds) + backlog);
   }
 
   /** Changes that wait until there is budget for them; they are part of our wish. */
@@ -142,11 +141,6 @@
     writes.rate(writeRps * (mine.writes + floorWrites) / sumWrites, now);
   }
 
-  /** Acceptances a second that users want who were told to come again: part of our wish, too. */
-  public void turnedAway(double perSecond) {
-    turnedAway = perSecond;
-  }
-
   /** Changes that may be sent at once and leave something for what is more urgent. */
   public int writesFree() {
     if (waiting() > 0) {
--- a/src/main/java/dunlincroft/coordination/Controller.java
+++ b/src/main/java/dunlincroft/coordination/Controller.java
@@ -198,7 +198,6 @@
       share();
       members.tick();
       jobs.admission().tick(world.store.acceptsPerSecond(), now);
-      world.store.turnedAway(jobs.admission().waiting());
       answerWaiting();
       supply.typesTick();
       if (members.leads() && world.feed.synced()) {
