Parts of team limits move to the waiting tasks that lack them

Cause, as the check prints it: the limit lay in parts with the shards, split by proportion of all work, and what was left of each part was less than one task takes ('a task takes 2000, unused parts n0=4379, n1=530': the shard with 530 waits). One gift without an outcome held up every team.

Who had all it needs and did not start within 6 s lets others go first. One guarded write of the giver as before; all owners together write at most 2 a second. Handover is split into machines and shares.

--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -177,8 +177,26 @@
   /** Milliseconds. A tick this much too late: the process stood still and heard nobody. */
   public static final long STOOD_STILL_MS = 700;
 
-  /** Milliseconds. Between looks at a team's shares: a demand changes faster than it is worth. */
-  public static final long SHARES_MS = 3000;
+  /**
+   * Milliseconds. All owners of shards together change the split of team limits at most once in
+   * this time, 2 times a second: a tenth of the changes of the state services known.
+   */
+  public static final long SHARES_MS = 500;
+
+  /** Milliseconds. Who gives second lets the first one's change be seen before its own. */
+  public static final long SHARES_TURN_MS = 1500;
+
+  /** Jobs. So many waiting jobs of a team are looked at in one plan of its shares. */
+  public static final int CLAIMS_LOOKED_AT = 64;
+
+  /** Tasks. So many tasks of one job are planned for at a time. */
+  public static final int CLAIM_TASKS = 256;
+
+  /** Milliseconds. A job that has all it needs starts a task in this time, or lets others go. */
+  public static final long CLAIM_PATIENCE_MS = 6000;
+
+  /** Milliseconds. A job that let others go claims anew after this. */
+  public static final long CLAIM_PASSED_MS = 15_000;
 
   /** Milliseconds. A controller is well for so long before its shard is handed back. */
   public static final long HANDBACK_MS = 10_000;
--- /dev/null
+++ b/src/main/java/dunlincroft/coordination/MachineHandover.java
@@ -0,0 +1,158 @@
+package dunlincroft.coordination;
+
+import dunlincroft.bookkeeping.BlockIndex;
+import dunlincroft.bookkeeping.Replica;
+import dunlincroft.bookkeeping.Txn;
+import dunlincroft.membership.Membership;
+import dunlincroft.protocol.BlockClass;
+import dunlincroft.protocol.Wire;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Hands empty machines of a shard to others, by their waiting and running work. Only the owner
+ * gives, with one write guarded by its shard and the machines' block: a machine that nothing is on
+ * and that no record names. Until the outcome is known, nobody uses what was offered.
+ */
+final class MachineHandover {
+  private static final Logger LOG = LoggerFactory.getLogger(MachineHandover.class);
+
+  private final World world;
+  private final Membership members;
+  private final Demand demand;
+  private final HandoverWriter writer;
+  private long plannedFor;
+
+  MachineHandover(World world, Membership members, Demand demand, HandoverWriter writer) {
+    this.world = world;
+    this.members = members;
+    this.demand = demand;
+    this.writer = writer;
+  }
+
+  /** Plans at each renewal of the leases, and moves what is empty by now. */
+  void tick() {
+    if (members.leaseStamp() != plannedFor) {
+      plannedFor = members.leaseStamp();
+      plan();
+    }
+    Map<BlockIndex.Block, Map<String, List<Machine>>> ready = new LinkedHashMap<>();
+    for (Machine machine : world.machines.values()) {
+      BlockIndex.Block block = world.blocks.of(machine.host);
+      if (machine.moveTo != null && !machine.moving && block != null && movable(machine)) {
+        ready
+            .computeIfAbsent(block, b -> new HashMap<>())
+            .computeIfAbsent(machine.moveTo, to -> new ArrayList<>())
+            .add(machine);
+      }
+    }
+    // One at a time from each block: a second write would meet the first one's stamp.
+    ready.forEach((block, moves) -> move(block, moves.entrySet().iterator().next()));
+  }
+
+  /** Chooses the blocks to hand over until the next renewal, class by class. */
+  private void plan() {
+    world.machines.values().stream().filter(m -> !m.moving).forEach(m -> m.moveTo = null);
+    demand
+        .blocks()
+        .forEach(
+            (blockClass, blocks) -> {
+              Map<String, Double> work = demand.byShard(blockClass);
+              double all = work.values().stream().mapToDouble(d -> d).sum();
+              int total = blocks.values().stream().mapToInt(n -> n).sum();
+              if (all > 0) {
+                work.replaceAll((shard, machines) -> machines / all * total);
+                List.copyOf(world.held.keySet())
+                    .forEach(shard -> plan(blockClass, shard, blocks, work));
+              }
+            });
+  }
+
+  private void plan(
+      BlockClass blockClass, String from, Map<String, Integer> blocks, Map<String, Double> want) {
+    List<Machine> mine = new ArrayList<>();
+    for (Machine machine : world.machines.values()) {
+      if (machine.shard.equals(from)
+          && machine.blockClass().equals(blockClass)
+          && world.usable(machine)
+          && !machine.hasDaemon()) {
+        mine.add(machine);
+      }
+    }
+    mine.sort(Comparator.comparingLong(machine -> machine.used().cpu()));
+    for (Machine machine : mine) {
+      String to =
+          want.keySet().stream()
+              .filter(shard -> world.replica.get(Replica.SHARDS, shard) != null)
+              .max(Comparator.comparingDouble(shard -> lack(shard, blocks, want)))
+              .orElse(from);
+      // Half a block is no reason: two holders would hand it to and fro.
+      if (lack(to, blocks, want) < 0.5 || -lack(from, blocks, want) < 0.5) {
+        return;
+      }
+      LOG.info("host {} goes from shard {} to shard {} once empty", machine.host, from, to);
+      machine.moveTo = to;
+      blocks.merge(from, -1, Integer::sum);
+      blocks.merge(to, 1, Integer::sum);
+    }
+  }
+
+  private static double lack(String shard, Map<String, Integer> blocks, Map<String, Double> want) {
+    return want.getOrDefault(shard, 0.0) - blocks.getOrDefault(shard, 0);
+  }
+
+  /**
+   * Nothing is on the machine, no order for it is under way, and no record names it: a successor of
+   * ours would otherwise look for a task there, and release the machine under another shard.
+   */
+  private boolean movable(Machine machine) {
+    return machine.placed.isEmpty()
+        && machine.pieces.isEmpty()
+        && machine.named.isEmpty()
+        && machine.draining == null
+        && machine.lifecycle == MachineLifecycle.IN_USE
+        && !machine.raising
+        && machine.session.hasReported()
+        && machine.session.provenAbsent();
+  }
+
+  /** Takes the machines out of their block and makes a block of the other shard of them. */
+  private void move(BlockIndex.Block block, Map.Entry<String, List<Machine>> moves) {
+    String from = block.record().shard();
+    String to = moves.getKey();
+    List<Machine> machines = moves.getValue();
+    if (!world.holds(from) || (world.settings.txnOps() < 2 && machines.size() < block.size())) {
+      return;
+    }
+    List<String> hosts = machines.stream().map(machine -> machine.host).toList();
+    String key = Wire.key(Replica.BLOCKS, block.name());
+    Txn txn =
+        new Txn()
+            .guard(Wire.key(Replica.SHARDS, from), world.held.getLong(from))
+            .guard(key, block.stamp());
+    if (hosts.size() == block.size()) {
+      txn.put(key, block.record().part(hosts, to).toNode());
+    } else {
+      String made = Wire.key(Replica.BLOCKS, members.nextName());
+      txn.put(key, block.record().without(hosts).toNode());
+      txn.guard(made, 0).put(made, block.record().part(hosts, to).toNode());
+    }
+    machines.forEach(machine -> machine.moving = true);
+    writer.commit(
+        txn,
+        hosts.size() + " machines of block " + block.name() + " to shard " + to,
+        () -> {
+          for (Machine machine : machines) {
+            machine.moving = false;
+            machine.moveTo = null;
+          }
+          world.placeDue = true;
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/dunlincroft/limits/Claim.java
@@ -0,0 +1,13 @@
+package dunlincroft.limits;
+
+import dunlincroft.protocol.Room;
+
+/**
+ * Tasks of one job that wait for a part of their team's limit alone: machines of their shard have
+ * room for them.
+ *
+ * @param shard the shard that owns the job
+ * @param task what each task takes
+ * @param tasks how many of them could start at once
+ */
+public record Claim(String shard, Room task, int tasks) {}
--- a/src/test/java/dunlincroft/sim/WaitingCheck.java
+++ b/src/test/java/dunlincroft/sim/WaitingCheck.java
@@ -111,7 +111,8 @@
     if (parts != null) {
       parts
           .fields()
-          .forEachRemaining(part -> unused.put(part.getKey(), part.getValue().path("cpu").asLong()));
+          .forEachRemaining(
+              part -> unused.put(part.getKey(), part.getValue().path("cpu").asLong()));
     }
     for (String ref : checks.accepted) {
       JsonNode record = cluster.state.under("d/jobs/").get(ref);
