A successor's log entry is not taken for one's own

A write of a shard's log without an answer is settled by reading its slot. Ledger.reread took any entry of its number for its own; a successor counts on from the same number. A start that was never recorded could so be ordered. The slot must now hold just what was written.

--- a/src/main/java/dunlincroft/coordination/Ledger.java
+++ b/src/main/java/dunlincroft/coordination/Ledger.java
@@ -232,9 +232,9 @@
             case REFUSED -> notRecorded(log, news);
             case CONFLICT -> {
               conflict(result.failed());
-              reread(log, number, news);
+              reread(log, number, slot, news);
             }
-            default -> reread(log, number, news);
+            default -> reread(log, number, slot, news);
           }
         });
   }
@@ -272,9 +272,10 @@
 
   /**
    * A write without an answer may be applied late: then the slot's stamp is not what we think, and
-   * the next write to it fails and comes here. Nothing else is written before the slot was read.
+   * the next write to it fails and comes here. Nothing else is written before the slot was read. A
+   * successor goes on counting where we did: an entry of our number may be its own.
    */
-  private void reread(ShardLog log, long number, List<JobUpdate> news) {
+  private void reread(ShardLog log, long number, JsonNode written, List<JobUpdate> news) {
     world.store.get(
         log.key(),
         answer -> {
@@ -286,7 +287,7 @@
               long stamp = StateStore.stamp(answer);
               JsonNode slot = StateStore.data(answer);
               log.recorded(slot, stamp);
-              if (log.has(number)) {
+              if (log.isRecorded(written)) {
                 recorded(log, number, slot, stamp, news);
               } else {
                 notRecorded(log, news);
@@ -296,7 +297,7 @@
           } catch (Malformed e) {
             LOG.info("slot {}: {}", log.key(), e.getMessage());
           }
-          world.env.after(Constants.REREAD_MS, () -> reread(log, number, news));
+          world.env.after(Constants.REREAD_MS, () -> reread(log, number, written, news));
         });
   }
 
--- a/src/main/java/dunlincroft/coordination/ShardLog.java
+++ b/src/main/java/dunlincroft/coordination/ShardLog.java
@@ -6,6 +6,8 @@
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.protocol.Cbor;
+import dunlincroft.protocol.LogRecord;
+import dunlincroft.protocol.Malformed;
 import dunlincroft.protocol.Wire;
 import java.util.TreeMap;
 
@@ -136,13 +138,9 @@
     current.take(data, stamp);
   }
 
-  /** Whether the present slot has an entry of this number. */
-  boolean has(long entry) {
-    for (JsonNode item : current.entries) {
-      if (item.path("n").asLong() == entry) {
-        return true;
-      }
-    }
-    return false;
+  /** Whether the present slot is recorded just as it was written, and not by somebody else. */
+  boolean isRecorded(JsonNode written) throws Malformed {
+    LogRecord there = LogRecord.parse(Cbor.map().set("log", current.entries));
+    return there.equals(LogRecord.parse(written));
   }
 }
--- /dev/null
+++ b/src/test/java/dunlincroft/coordination/ShardLogTest.java
@@ -0,0 +1,66 @@
+package dunlincroft.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dunlincroft.bookkeeping.JobIndex;
+import dunlincroft.bookkeeping.Replica;
+import dunlincroft.protocol.Cbor;
+import dunlincroft.protocol.LogRecord;
+import dunlincroft.protocol.Malformed;
+import dunlincroft.protocol.TaskState;
+import dunlincroft.protocol.TaskState.Place;
+import java.util.BitSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A write of the log gets no answer and its slot is read. A successor counts on where the former
+ * owner did, so an entry of the same number may be the successor's. Found by reading {@code
+ * Ledger.reread}: it took any entry of the number for its own, and a start that was never recorded
+ * for a recorded one. It was not seen on any day; the worker's fence would mostly have refused the
+ * order.
+ */
+class ShardLogTest {
+  private static ObjectNode entry(long number, String host) {
+    TaskState state =
+        new TaskState(new BitSet(), new BitSet(), List.of(new Place(3, host, 77)), false);
+    return new LogRecord.Entry(number, "run-1", state).toNode();
+  }
+
+  private static ShardLog log() {
+    Replica replica = new Replica();
+    World world = new World(null, null, null, null, replica, new JobIndex(replica));
+    ShardLog log = new ShardLog(world, "n0");
+    log.nextSlot(Long.MAX_VALUE);
+    return log;
+  }
+
+  private static ObjectNode read(ObjectNode written) throws Malformed {
+    return Cbor.parse(Cbor.bytes(written));
+  }
+
+  @Test
+  void ourOwnWriteIsFoundRecorded() throws Malformed {
+    ShardLog log = log();
+    ObjectNode written = log.with(List.of(entry(5, "host-a")));
+    log.recorded(read(written), 12);
+    assertThat(log.isRecorded(written)).isTrue();
+  }
+
+  @Test
+  void aSuccessorsEntryOfTheSameNumberIsNotOurs() throws Malformed {
+    ShardLog log = log();
+    ObjectNode written = log.with(List.of(entry(5, "host-a")));
+    log.recorded(read(log.with(List.of(entry(5, "host-b")))), 12);
+    assertThat(log.isRecorded(written)).isFalse();
+  }
+
+  @Test
+  void aSlotThatWasNeverWrittenIsNotRecorded() throws Malformed {
+    ShardLog log = log();
+    ObjectNode written = log.with(List.of(entry(5, "host-a")));
+    log.recorded(null, 0);
+    assertThat(log.isRecorded(written)).isFalse();
+  }
+}
