--- a/src/test/java/dunlincroft/sim/LostAnswersTest.java
+++ b/src/test/java/dunlincroft/sim/LostAnswersTest.java
@@ -119,6 +119,11 @@
           cluster.clock.after(
               16_000 + 20_000L * i + 5000L * j,
               () -> Trouble.fullest(cluster).forEach(worker -> worker.hang(4000)));
+          // A worker that begins anew always gets a higher fence: with hanging machines alone the
+          // number of raised fences hung on the seed.
+          cluster.clock.after(
+              18_000 + 20_000L * i + 5000L * j,
+              () -> Trouble.fullest(cluster).forEach(worker -> worker.restart(200)));
         }
       }
     }
