--- /dev/null
+++ b/src/test/java/dunlincroft/ci/TestVerdict.java
@@ -0,0 +1,160 @@
+package dunlincroft.ci;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import javax.xml.parsers.DocumentBuilderFactory;
+import javax.xml.parsers.ParserConfigurationException;
+import org.w3c.dom.Element;
+import org.w3c.dom.NodeList;
+import org.xml.sax.SAXException;
+
+/**
+ * The verdict on a test run from its reports: every failure fails it but those of the cases that
+ * KNOWN-RED.txt lists, and so does a listed case that did not run, and a test class without a
+ * report. Called by {@code .ci/run} with KNOWN-RED.txt, the folder of test sources and that of the
+ * reports.
+ */
+public final class TestVerdict {
+  /** What became of a test case. */
+  private enum Outcome {
+    PASSED,
+    FAILED,
+    SKIPPED
+  }
+
+  /**
+   * A verdict.
+   *
+   * @param lines what is printed
+   * @param good whether the run may land
+   */
+  record Verdict(List<String> lines, boolean good) {}
+
+  private final Map<String, Outcome> outcomes = new TreeMap<>();
+  private final List<String> lines = new ArrayList<>();
+  private boolean good = true;
+
+  private TestVerdict() {}
+
+  /** Prints the verdict; exit code 1 when the run must not land. */
+  public static void main(String[] args)
+      throws IOException, ParserConfigurationException, SAXException {
+    Verdict verdict = of(Path.of(args[0]), Path.of(args[1]), Path.of(args[2]));
+    verdict.lines.forEach(System.out::println);
+    System.exit(verdict.good ? 0 : 1);
+  }
+
+  static Verdict of(Path knownRed, Path sources, Path reports)
+      throws IOException, ParserConfigurationException, SAXException {
+    TestVerdict verdict = new TestVerdict();
+    verdict.readAll(reports);
+    verdict.compare(knownRed);
+    verdict.findMissingClasses(sources, reports);
+    verdict.count();
+    return new Verdict(verdict.lines, verdict.good);
+  }
+
+  // ---- reports ----
+
+  private void readAll(Path reports)
+      throws IOException, ParserConfigurationException, SAXException {
+    if (!Files.isDirectory(reports)) {
+      return;
+    }
+    for (Path report : files(reports, "TEST-", ".xml")) {
+      NodeList cases =
+          DocumentBuilderFactory.newInstance()
+              .newDocumentBuilder()
+              .parse(report.toFile())
+              .getElementsByTagName("testcase");
+      for (int i = 0; i < cases.getLength(); i++) {
+        read((Element) cases.item(i));
+      }
+    }
+  }
+
+  private void read(Element testCase) {
+    String name = testCase.getAttribute("classname") + "#" + testCase.getAttribute("name");
+    boolean failed = has(testCase, "failure") || has(testCase, "error");
+    boolean skipped = has(testCase, "skipped");
+    Outcome outcome = failed ? Outcome.FAILED : skipped ? Outcome.SKIPPED : Outcome.PASSED;
+    // Of two cases of one name the worse counts.
+    outcomes.merge(name, outcome, (one, other) -> one == Outcome.FAILED ? one : other);
+  }
+
+  private static boolean has(Element testCase, String tag) {
+    return testCase.getElementsByTagName(tag).getLength() > 0;
+  }
+
+  private static List<Path> files(Path folder, String prefix, String suffix) throws IOException {
+    try (Stream<Path> all = Files.walk(folder)) {
+      return all.filter(file -> file.getFileName().toString().startsWith(prefix))
+          .filter(file -> file.getFileName().toString().endsWith(suffix))
+          .sorted()
+          .toList();
+    }
+  }
+
+  // ---- the verdict ----
+
+  private void bad(String line) {
+    lines.add(line);
+    good = false;
+  }
+
+  private void compare(Path knownRed) throws IOException {
+    Map<String, KnownRed> known = new TreeMap<>();
+    try {
+      KnownRed.read(knownRed).forEach(entry -> known.put(entry.testCase(), entry));
+    } catch (IllegalArgumentException e) {
+      bad(e.getMessage());
+    }
+    known.forEach(
+        (name, entry) -> {
+          switch (outcomes.getOrDefault(name, Outcome.SKIPPED)) {
+            case FAILED -> lines.add("known red: " + entry.line());
+            case PASSED -> lines.add("listed as known red, but passed: " + entry.line());
+            case SKIPPED -> bad("listed as known red, but not run: " + entry.line());
+          }
+        });
+    outcomes.forEach(
+        (name, outcome) -> {
+          if (outcome == Outcome.FAILED && !known.containsKey(name)) {
+            bad("failed: " + name);
+          }
+        });
+  }
+
+  private void findMissingClasses(Path sources, Path reports) throws IOException {
+    for (Path source : files(sources, "", "Test.java")) {
+      String path = sources.relativize(source).toString();
+      String name = path.substring(0, path.length() - ".java".length()).replace('/', '.');
+      if (!Files.exists(reports.resolve("TEST-" + name + ".xml"))) {
+        bad("no report of " + name);
+      }
+    }
+  }
+
+  private void count() {
+    lines.add(
+        count(Outcome.PASSED)
+            + " passed, "
+            + count(Outcome.FAILED)
+            + " failed, "
+            + count(Outcome.SKIPPED)
+            + " skipped");
+    if (outcomes.isEmpty()) {
+      bad("no test was run");
+    }
+  }
+
+  private long count(Outcome wanted) {
+    return outcomes.values().stream().filter(outcome -> outcome == wanted).count();
+  }
+}
