--- a/review/standins/review/CloudService.java
+++ b/review/standins/review/CloudService.java
@@ -24,6 +24,9 @@
   private int counter = 100;
   private final int mostPerZone;
   double bootS = 15;
+
+  /** Share of the rentals and releases that are carried out late and not answered. */
+  volatile double lateShare;
   double listLagS = 6;
 
   CloudService(Deployment deployment, int mostPerZone) throws IOException {
@@ -89,6 +92,11 @@
 
   private Net.Answer handle(String method, String path, Map<String, String> query, byte[] body) {
     Net.sleep(120);
+    if (Math.random() < lateShare && method.equals("POST")) {
+      Net.sleep(5500 + (long) (Math.random() * 20000));
+      (path.equals("/machines") ? hire(Net.parse(body)) : release(Net.parse(body))).status();
+      return null;
+    }
     switch (path) {
       case "/machine_types":
         ObjectNode type =
--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -91,6 +91,9 @@
   /** Share of the direct commands that are held up, unanswered, and carried out late. */
   volatile double lateCommandShare;
 
+  /** Share of the reports of which a copy comes again later. */
+  volatile double lateReportShare;
+
   /** Starts, by task. */
   final Map<String, Integer> starts = new ConcurrentHashMap<>();
 
--- a/review/standins/review/StateService.java
+++ b/review/standins/review/StateService.java
@@ -64,9 +64,6 @@
   private final int txnOps;
   long epoch = 1;
 
-  /** Bytes of all values put. */
-  long written;
-
   private long forgottenUpTo = 0;
   private long nextHold = 1;
 
@@ -122,7 +119,6 @@
     } else {
       items.put(key, new Item(data, epoch, tenancy));
     }
-    written += data == null ? 0 : Net.bytes(data).length;
     changes.add(new Change(epoch, key, data));
     while (changes.size() > KEPT_CHANGES) {
       forgottenUpTo = changes.poll().stamp;
--- a/review/standins/review/WorkerHost.java
+++ b/review/standins/review/WorkerHost.java
@@ -94,10 +94,16 @@
   private void taskLoop() {
     while (true) {
       Net.sleep(50);
+      long hangFrom = now();
+      while (now() < hangUntil) {
+        Net.sleep(20);
+      }
+      long hung = now() - hangFrom;
       synchronized (this) {
         if (ended) {
           return;
         }
+        pieces.values().forEach(p -> p.dueAt = p.dueAt == Long.MAX_VALUE ? p.dueAt : p.dueAt + hung);
         if (now() - renewedAt > deployment.leaseMs) {
           if (!pieces.isEmpty()) {
             deployment.record(host + " lease ends, session " + tenure);
@@ -277,12 +283,18 @@
       Net.sleep(3000);
       return null;
     }
+    while (now() < hangUntil) {
+      Net.sleep(20);
+    }
     return execute(path, body);
   }
 
   /** Until when answers and direct requests to this machine are lost. */
   volatile long deafUntil;
 
+  /** Until when the machine hangs; requests wait and are carried out when it goes on. */
+  volatile long hangUntil;
+
   private synchronized Net.Answer execute(String path, byte[] body) {
     if (ended) {
       return null;
@@ -311,6 +323,9 @@
 
   private void reportLoop() {
     while (true) {
+      while (now() < hangUntil) {
+        Net.sleep(20);
+      }
       ObjectNode report;
       long sentAt;
       long session;
@@ -324,13 +339,26 @@
         session = tenure;
       }
       String node = deployment.nodes.get(target % deployment.nodes.size());
+      if (Math.random() < deployment.lateReportShare) {
+        ObjectNode copy = report;
+        Net.daemon(
+            () -> {
+              Net.sleep(2000 + (long) (Math.random() * 40000));
+              deployment.nodes.forEach(
+                  n -> Net.call(deployment.workerAddress(n), "POST", "/hello", copy, 4000));
+            },
+            "copy");
+      }
       Net.Answer answer = Net.call(deployment.workerAddress(node), "POST", "/hello", report, 4000);
+      while (now() < hangUntil) {
+        Net.sleep(20);
+      }
       boolean next = false;
       synchronized (this) {
         if (ended) {
           return;
         }
-        if (now() < deafUntil) {
+        if (now() < deafUntil || now() - sentAt > 4000) {
           next = true;
         } else if (answer.status() == 200 && answer.body() != null) {
           boolean valid = answer.body().path("fence").asLong(-1) >= fence;
