--- a/review/standins/review/CloudService.java
+++ b/review/standins/review/CloudService.java
@@ -11,7 +11,7 @@
 
 /** The cloud of the protocol page, with one machine type; machines are {@link WorkerHost}s. */
 final class CloudService {
-  private record Listed(String host, String endpoint, String hall, boolean lendable, String status,
+  private record Listed(String host, WorkerHost worker, String hall, boolean lendable, String status,
       long rentedAt) {}
 
   private record View(long at, Map<String, Listed> machines) {}
@@ -20,7 +20,7 @@
   private final Map<String, Listed> machines = new TreeMap<>();
   private final Map<String, ObjectNode> answered = new HashMap<>();
   private final java.util.ArrayDeque<View> views = new java.util.ArrayDeque<>();
-  private final Net.Server server;
+  private final Map<String, Net.Server> servers = new TreeMap<>();
   private int counter = 100;
   private final int mostPerZone;
   double bootS = 15;
@@ -32,12 +32,17 @@
   CloudService(Deployment deployment, int mostPerZone) throws IOException {
     this.deployment = deployment;
     this.mostPerZone = mostPerZone;
-    server = new Net.Server(this::handle);
+    for (String node : deployment.nodes) {
+      servers.put(
+          node,
+          new Net.Server((method, path, query, body) -> handle(node, method, path, query, body)));
+    }
     Net.daemon(this::remember, "list");
   }
 
-  String address() {
-    return server.address();
+  /** The address of the cloud for a controller. */
+  String address(String node) {
+    return servers.get(node).address();
   }
 
   private static long now() {
@@ -76,7 +81,7 @@
       machines.put(
           host,
           new Listed(
-              host, worker.endpoint(), listed.hall, listed.lendable, "running", listed.rentedAt));
+              host, worker, listed.hall, listed.lendable, "running", listed.rentedAt));
     }
   }
 
@@ -90,7 +95,8 @@
     }
   }
 
-  private Net.Answer handle(String method, String path, Map<String, String> query, byte[] body) {
+  private Net.Answer handle(
+      String node, String method, String path, Map<String, String> query, byte[] body) {
     Net.sleep(120);
     if (Math.random() < lateShare && method.equals("POST")) {
       Net.sleep(5500 + (long) (Math.random() * 20000));
@@ -115,7 +121,7 @@
         types.putArray("flavours").add(type);
         return new Net.Answer(200, types);
       case "/machines":
-        return method.equals("POST") ? hire(Net.parse(body)) : list(query);
+        return method.equals("POST") ? hire(Net.parse(body)) : list(node, query);
       case "/machines/release":
         return release(Net.parse(body));
       default:
@@ -164,7 +170,7 @@
     return new Net.Answer(200, Net.map());
   }
 
-  private synchronized Net.Answer list(Map<String, String> query) {
+  private synchronized Net.Answer list(String node, Map<String, String> query) {
     String since = query.getOrDefault("since", "");
     int most = Math.min(500, Integer.parseInt(query.getOrDefault("most", "500")));
     View view = views.peek();
@@ -191,8 +197,8 @@
               .put("lendable", listed.lendable)
               .put("status", listed.status)
               .put("heldS", (view.at - listed.rentedAt) / 1000.0);
-      if (listed.endpoint != null) {
-        item.put("endpoint", listed.endpoint);
+      if (listed.worker != null) {
+        item.put("endpoint", listed.worker.endpoint(node));
       }
     }
     return new Net.Answer(200, page.put("hasNext", hasNext));
--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -73,6 +73,12 @@
   /** Tasks that have completed; their results are kept. */
   final Set<String> finished = ConcurrentHashMap.newKeySet();
 
+  /** Proxies between controllers, by "from to". */
+  final Map<String, Link> links = new TreeMap<>();
+
+  /** Pairs "controller host" that can't reach each other now; "controller *" is all machines. */
+  final Set<String> cuts = ConcurrentHashMap.newKeySet();
+
   final StateService state;
   final CloudService cloud;
   final double leaseMs;
@@ -117,6 +123,13 @@
     for (ServerSocket socket : reserved) {
       socket.close();
     }
+    for (String from : nodes) {
+      for (String to : nodes) {
+        if (!from.equals(to)) {
+          links.put(from + " " + to, new Link(back.get(to)));
+        }
+      }
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
   }
 
@@ -160,11 +173,11 @@
             .addObject()
             .put("node_name", nodes.get(i))
             .put("site", zones.get(i))
-            .put("address", back.get(nodes.get(i)));
+            .put("address", links.get(node + " " + nodes.get(i)).address());
       }
     }
     root.putObject("endpoints")
-        .put("cloud", cloud.address())
+        .put("cloud", cloud.address(node))
         .put("state", state.servers.get(node).address());
     ObjectNode deployment = root.putObject("deployment");
     deployment.put("initial_size", 3);
@@ -266,9 +279,11 @@
     return false;
   }
 
-  /** The address at which workers reach a controller; a case may put a proxy between. */
-  String workerAddress(String node) {
-    return listen.get(node);
+  /** Whether a controller and a machine can't reach each other now. */
+  boolean isCut(String node, WorkerHost worker) {
+    return cuts.contains(node + " *")
+        || cuts.contains(node + " " + worker.host)
+        || cuts.contains(node + " zone " + worker.zone());
   }
 
   /** Lines of a controller's log that contain a text. */
@@ -369,7 +384,10 @@
         next++;
         node = nodes.get(next % nodes.size());
       }
-      answer = Net.call(listen.get(node), method, path, body, timeoutMs);
+      answer =
+          cuts.contains(node + " users")
+              ? new Net.Answer(0, null)
+              : Net.call(listen.get(node), method, path, body, timeoutMs);
     }
     return answer;
   }
--- a/review/standins/review/MixedTroubles.java
+++ b/review/standins/review/MixedTroubles.java
@@ -99,7 +99,7 @@
   private void trouble() {
     String node = random.nextBoolean() ? leader() : d.nodes.get(random.nextInt(3));
     boolean restarts = random.nextBoolean();
-    switch (random.nextInt(11)) {
+    switch (random.nextInt(15)) {
       case 0 -> restart(node, random.nextInt(3) == 0 ? 100 : 4000);
       case 1 -> {
         d.signal(node, "STOP");
@@ -159,6 +159,14 @@
           restart(node, random.nextInt(5000));
         }
       }
+      case 11, 12 -> cutNode(node, 2000 + random.nextInt(50_000), restarts);
+      case 13 -> {
+        d.record("connections between controllers are refused at " + node);
+        setLinks(node, Link.Mode.REFUSED);
+        Net.sleep(2000 + random.nextInt(30_000));
+        setLinks(node, Link.Mode.OPEN);
+      }
+      case 14 -> cutZone(random.nextInt(3), 2000 + random.nextInt(50_000));
       default -> {
         d.record("copies of reports, late rentals and releases");
         d.lateReportShare = 0.3;
@@ -173,6 +181,59 @@
     }
   }
 
+  private void setLinks(String node, Link.Mode mode) {
+    d.links.forEach(
+        (pair, link) -> {
+          if (pair.startsWith(node + " ") || pair.endsWith(" " + node)) {
+            link.set(mode);
+          }
+        });
+  }
+
+  /** Cuts a controller from some of its partners; what is sent is held back. */
+  private void cutNode(String node, long forMs, boolean fromAll) {
+    boolean state = fromAll || random.nextBoolean();
+    boolean peers = fromAll || random.nextBoolean();
+    boolean workers = fromAll || random.nextInt(3) == 0;
+    d.record(node + " is cut: state " + state + " peers " + peers + " workers " + workers);
+    if (state) {
+      d.state.held.add(node);
+    }
+    if (peers) {
+      setLinks(node, Link.Mode.HELD);
+    }
+    if (workers) {
+      d.cuts.add(node + " *");
+      d.cuts.add(node + " users");
+    }
+    Net.sleep(forMs);
+    d.state.held.remove(node);
+    setLinks(node, Link.Mode.OPEN);
+    d.cuts.clear();
+    d.record("cut ends");
+  }
+
+  /** Cuts a zone with its controller from everything. */
+  private void cutZone(int index, long forMs) {
+    String inside = d.nodes.get(index);
+    d.record("zone " + d.zones.get(index) + " is cut off");
+    for (int i = 0; i < 3; i++) {
+      for (int zone = 0; zone < 3; zone++) {
+        if ((i == index) != (zone == index)) {
+          d.cuts.add(d.nodes.get(i) + " zone " + d.zones.get(zone));
+        }
+      }
+    }
+    d.cuts.add(inside + " users");
+    d.state.held.add(inside);
+    setLinks(inside, Link.Mode.HELD);
+    Net.sleep(forMs);
+    d.state.held.remove(inside);
+    setLinks(inside, Link.Mode.OPEN);
+    d.cuts.clear();
+    d.record("cut ends");
+  }
+
   private long soon(int mostMs) {
     return System.nanoTime() / 1_000_000 + 2000 + random.nextInt(mostMs);
   }
--- a/review/standins/review/StateService.java
+++ b/review/standins/review/StateService.java
@@ -70,6 +70,9 @@
   /** Controllers that are refused with status 503. */
   final Set<String> refused = ConcurrentHashMap.newKeySet();
 
+  /** Controllers whose requests are held back, and carried out once they are not. */
+  final Set<String> held = ConcurrentHashMap.newKeySet();
+
   /** Whether the service refuses everybody. */
   volatile boolean outage;
 
@@ -160,6 +163,17 @@
       String node, String method, String path, Map<String, String> query, byte[] body)
       throws InterruptedException {
     Net.sleep(3);
+    if (held.contains(node)) {
+      while (held.contains(node)) {
+        Net.sleep(10);
+      }
+      if (path.equals("/multi")) {
+        synchronized (this) {
+          multi(Net.parse(body));
+        }
+      }
+      return null;
+    }
     if (outage || refused.contains(node)) {
       return new Net.Answer(503, Net.map().put("error", "trouble"));
     }
@@ -289,7 +303,7 @@
       if (since < forgottenUpTo) {
         return new Net.Answer(410, Net.map().put("epoch", epoch));
       }
-      boolean blocked = outage || refused.contains(node);
+      boolean blocked = outage || refused.contains(node) || held.contains(node);
       ObjectNode answer = Net.map().put("epoch", epoch);
       ArrayNode events = answer.putArray("events");
       for (Change change : changes) {
--- a/review/standins/review/WorkerHost.java
+++ b/review/standins/review/WorkerHost.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** A machine with its worker, as the protocol page describes it. */
@@ -38,7 +39,7 @@
   private final String type;
   private final String hall;
   private final boolean lendable;
-  private final Net.Server server;
+  private final Map<String, Net.Server> servers = new TreeMap<>();
   private final Map<String, Piece> pieces = new LinkedHashMap<>();
   private final Map<String, Long> images = new LinkedHashMap<>();
   private long tenure = 1;
@@ -58,7 +59,11 @@
     this.hall = hall;
     this.lendable = lendable;
     target = ThreadLocalRandom.current().nextInt(deployment.nodes.size());
-    server = new Net.Server(this::handle);
+    for (String node : deployment.nodes) {
+      servers.put(
+          node,
+          new Net.Server((method, path, query, body) -> handle(node, method, path, query, body)));
+    }
     Net.daemon(this::reportLoop, host);
     Net.daemon(this::taskLoop, host);
   }
@@ -67,8 +72,9 @@
     return hall;
   }
 
-  String endpoint() {
-    return server.address();
+  /** The address at which a controller reaches this machine. */
+  String endpoint(String node) {
+    return servers.get(node).address();
   }
 
   private static long now() {
@@ -79,7 +85,7 @@
     ended = true;
     pieces.values().forEach(piece -> leave(piece, why));
     pieces.clear();
-    server.close();
+    servers.values().forEach(Net.Server::close);
   }
 
   private void leave(Piece piece, String why) {
@@ -227,12 +233,12 @@
 
   // ---- messages ----
 
-  private ObjectNode report() {
+  private ObjectNode report(String node) {
     counter++;
     ObjectNode map =
         Net.map()
             .put("host", host)
-            .put("endpoint", endpoint())
+            .put("endpoint", endpoint(node))
             .put("flavour", type)
             .put("hall", hall)
             .put("lendable", lendable)
@@ -268,12 +274,12 @@
   }
 
   private Net.Answer handle(
-      String method, String path, Map<String, String> query, byte[] body) {
+      String node, String method, String path, Map<String, String> query, byte[] body) {
     if (Math.random() < deployment.lateCommandShare && path.equals("/commands")) {
       Net.daemon(
           () -> {
             Net.sleep(2000 + (long) (Math.random() * 14000));
-            execute(path, body);
+            execute(node, path, body);
           },
           "late");
       Net.sleep(3000);
@@ -286,7 +292,14 @@
     while (now() < hangUntil) {
       Net.sleep(20);
     }
-    return execute(path, body);
+    if (deployment.isCut(node, this)) {
+      while (deployment.isCut(node, this)) {
+        Net.sleep(20);
+      }
+      execute(node, path, body);
+      return null;
+    }
+    return execute(node, path, body);
   }
 
   /** Until when answers and direct requests to this machine are lost. */
@@ -295,24 +308,24 @@
   /** Until when the machine hangs; requests wait and are carried out when it goes on. */
   volatile long hangUntil;
 
-  private synchronized Net.Answer execute(String path, byte[] body) {
+  private synchronized Net.Answer execute(String node, String path, byte[] body) {
     if (ended) {
       return null;
     }
     if (path.equals("/status")) {
-      return new Net.Answer(200, report());
+      return new Net.Answer(200, report(node));
     }
     ObjectNode command = Net.parse(body);
     if (command == null || !command.has("fence") || !command.has("tenure")) {
       return new Net.Answer(400, Net.map());
     }
     if (command.path("fence").asLong() < fence || command.path("tenure").asLong() != tenure) {
-      return new Net.Answer(409, report());
+      return new Net.Answer(409, report(node));
     }
     raiseFence(command.path("fence").asLong());
     command.path("orders").forEach(order -> log("direct", order));
     command.path("orders").forEach(this::execute);
-    return new Net.Answer(200, report());
+    return new Net.Answer(200, report(node));
   }
 
   private void log(String way, JsonNode order) {
@@ -329,27 +342,28 @@
       ObjectNode report;
       long sentAt;
       long session;
+      String node;
       synchronized (this) {
         if (ended) {
           return;
         }
         changed = false;
-        report = report();
+        node = deployment.nodes.get(target % deployment.nodes.size());
+        report = report(node);
         sentAt = now();
         session = tenure;
       }
-      String node = deployment.nodes.get(target % deployment.nodes.size());
       if (Math.random() < deployment.lateReportShare) {
         ObjectNode copy = report;
         Net.daemon(
             () -> {
               Net.sleep(2000 + (long) (Math.random() * 40000));
               deployment.nodes.forEach(
-                  n -> Net.call(deployment.workerAddress(n), "POST", "/hello", copy, 4000));
+                  n -> Net.call(deployment.listen.get(n), "POST", "/hello", copy, 4000));
             },
             "copy");
       }
-      Net.Answer answer = Net.call(deployment.workerAddress(node), "POST", "/hello", report, 4000);
+      Net.Answer answer = hello(node, report);
       while (now() < hangUntil) {
         Net.sleep(20);
       }
@@ -387,6 +401,22 @@
     }
   }
 
+  private Net.Answer hello(String node, ObjectNode report) {
+    if (!deployment.isCut(node, this)) {
+      return Net.call(deployment.listen.get(node), "POST", "/hello", report, 4000);
+    }
+    Net.daemon(
+        () -> {
+          while (deployment.isCut(node, this)) {
+            Net.sleep(20);
+          }
+          Net.call(deployment.listen.get(node), "POST", "/hello", report, 4000);
+        },
+        "held");
+    Net.sleep(4000);
+    return new Net.Answer(0, null);
+  }
+
   private void pause() {
     long from = now();
     double interval =
