--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -48,6 +48,9 @@
     double writeRps = 35;
     double valueKb = 16;
     int txnOps = 16;
+    /** The limits that the state service will have later, or null. */
+    ObjectNode next;
+
     double cloudRps = 2;
     double listLagS = 6;
     double memoryMb = 263;
@@ -199,12 +202,16 @@
         .put("gang_wait_s", 40.0)
         .put("gang_peer_s", 8.0)
         .put("cancel_s", plan.cancelS);
-    deployment
-        .putObject("state")
-        .put("rps", plan.rps)
-        .put("write_rps", plan.writeRps)
-        .put("value_kb", plan.valueKb)
-        .put("txn_ops", plan.txnOps);
+    ObjectNode stateLimits =
+        deployment
+            .putObject("state")
+            .put("rps", plan.rps)
+            .put("write_rps", plan.writeRps)
+            .put("value_kb", plan.valueKb)
+            .put("txn_ops", plan.txnOps);
+    if (plan.next != null) {
+      stateLimits.set("next", plan.next);
+    }
     deployment.putObject("cloud").put("rps", plan.cloudRps).put("list_lag_s", plan.listLagS);
     deployment
         .putObject("machine_limits")
--- a/review/standins/review/MixedTroubles.java
+++ b/review/standins/review/MixedTroubles.java
@@ -13,7 +13,8 @@
 
 /**
  * Not a case: plays a deployment under troubles drawn at random and checks the rules meanwhile. Its
- * arguments are a seed and a number of minutes.
+ * arguments are a seed, a number of minutes and a file for the record. With "limits" as the fourth,
+ * the limits of the state service fall and rise again each minute.
  */
 public final class MixedTroubles {
   private static final double CALM_S = 120;
@@ -44,11 +45,25 @@
     plan.mostPerZone = 6;
     long seed = Long.parseLong(args[0]);
     try (Deployment d = new Deployment(plan, Path.of(args[2]))) {
+      if (args.length > 3 && args[3].equals("limits")) {
+        Net.daemon(() -> changeLimits(d), "limits");
+      }
       new MixedTroubles(d, seed, Double.parseDouble(args[1])).run((int) (seed % 1000) * 1000);
     }
     System.exit(0);
   }
 
+  private static void changeLimits(Deployment d) {
+    while (true) {
+      Net.sleep(60_000);
+      d.state.limit(2, 5, 24);
+      d.record("limits fall");
+      Net.sleep(60_000);
+      d.state.limit(16, 16, 35);
+      d.record("limits rise");
+    }
+  }
+
   private void run(int firstJob) {
     for (String zone : d.zones) {
       for (int i = 0; i < 3; i++) {
--- a/review/standins/review/StateService.java
+++ b/review/standins/review/StateService.java
@@ -59,9 +59,9 @@
   private final ArrayDeque<Change> changes = new ArrayDeque<>();
   private final Map<Long, Hold> holds = new HashMap<>();
   private final Bucket requests;
-  private final Bucket writes;
-  private final double valueKb;
-  private final int txnOps;
+  private Bucket writes;
+  private double valueKb;
+  private int txnOps;
   long epoch = 1;
 
   private long forgottenUpTo = 0;
@@ -103,6 +103,13 @@
     return System.nanoTime() / 1_000_000;
   }
 
+  /** Changes the limits on values, transactions and changes a second. */
+  synchronized void limit(double newValueKb, int newTxnOps, double newWriteRps) {
+    valueKb = newValueKb;
+    txnOps = newTxnOps;
+    writes = new Bucket(newWriteRps);
+  }
+
   /** Writes a key as another client or an earlier life of the controllers would have. */
   synchronized void put(String key, JsonNode data) {
     epoch++;
@@ -260,6 +267,7 @@
       return new Net.Answer(429, null);
     }
     if (apply.size() > txnOps || guards.size() > 4 * txnOps || txn.toString().length() > 65536) {
+      counts.merge("400 transaction too large", 1, Integer::sum);
       return new Net.Answer(400, Net.map().put("error", "too large"));
     }
     List<String> failed = new ArrayList<>();
@@ -274,6 +282,8 @@
         return new Net.Answer(400, Net.map().put("error", "no such lease"));
       }
       if (op.path("data").toString().length() > valueKb * 1024) {
+        String key = op.path("put").asText();
+        counts.merge("400 value too large: " + key, 1, Integer::sum);
         return new Net.Answer(400, Net.map().put("error", "value too large"));
       }
     }
--- a/review/standins/review/WorkerHost.java
+++ b/review/standins/review/WorkerHost.java
@@ -431,6 +431,19 @@
     }
   }
 
+  /** Whether a task with these needs fits beside what is on the machine. */
+  synchronized boolean hasRoom(double cpus, double ramGb) {
+    double freeCpus = deployment.plan.typeCpus;
+    double freeRam = deployment.plan.typeRamGb;
+    for (Piece piece : pieces.values()) {
+      if (!piece.exited()) {
+        freeCpus -= piece.spec.path("cpus").asDouble();
+        freeRam -= piece.spec.path("ramGb").asDouble();
+      }
+    }
+    return !ended && cpus <= freeCpus && ramGb <= freeRam;
+  }
+
   /** Names of the tasks that are on the machine now. */
   synchronized List<String> present() {
     return pieces.values().stream().filter(p -> p.present).map(p -> p.id).toList();
