--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -407,7 +407,7 @@
     double from = seconds();
     while (seconds() - from < 60) {
       Net.Answer answer = user("POST", "/submissions", sent, 5000);
-      recordQuietly("submit " + job.path("ref").asText() + ": " + answer.status());
+      recordQuietly("submit " + sent + ": " + answer.status() + " " + answer.body());
       if (answer.status() == 201 || answer.status() == 200) {
         record(job.path("ref").asText() + " accepted: " + answer.status());
         return true;
