--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -293,17 +293,6 @@
         || cuts.contains(node + " zone " + worker.zone());
   }
 
-  /** Lines of a controller's log that contain a text. */
-  List<String> log(String node, String text) {
-    try {
-      return Files.readAllLines(folder.resolve(node + ".log")).stream()
-          .filter(line -> line.contains(text))
-          .toList();
-    } catch (IOException e) {
-      return List.of();
-    }
-  }
-
   private void endProcesses() {
     processes.values().forEach(Process::destroyForcibly);
   }
@@ -344,12 +333,7 @@
     return new TreeMap<>(places);
   }
 
-  /** Where a task is, or null. */
-  synchronized String placeOf(String id) {
-    return places.get(id);
-  }
-
-  // ---- users ----
+// ---- users ----
 
   /** A job description; {@code runS} is for the workers only. */
   static ObjectNode job(
--- a/review/standins/review/StateService.java
+++ b/review/standins/review/StateService.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** The state service of the protocol page. Every controller has an address of its own. */
@@ -355,18 +354,6 @@
     return new Net.Answer(200, Net.map());
   }
 
-  /** Names of the keys with a prefix. */
-  synchronized Set<String> keys(String prefix) {
-    Set<String> found = new TreeSet<>();
-    for (String key : items.tailMap(prefix).keySet()) {
-      if (!key.startsWith(prefix)) {
-        break;
-      }
-      found.add(key);
-    }
-    return found;
-  }
-
   synchronized Item item(String key) {
     return items.get(key);
   }
--- a/review/standins/review/WorkerHost.java
+++ b/review/standins/review/WorkerHost.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -443,9 +442,4 @@
     }
     return !ended && cpus <= freeCpus && ramGb <= freeRam;
   }
-
-  /** Names of the tasks that are on the machine now. */
-  synchronized List<String> present() {
-    return pieces.values().stream().filter(p -> p.present).map(p -> p.id).toList();
-  }
 }
