--- a/review/standins-2/src/rig/CaseSick.java
+++ b/review/standins-2/src/rig/CaseSick.java
@@ -12,7 +12,13 @@
 
   public static void main(String[] args) throws Exception {
     Record.open(Path.of(args[0]));
-    System.exit(run(Path.of(args[1]), !"0".equals(System.getenv("TROUBLE"))));
+    int code = 2;
+    try {
+      code = run(Path.of(args[1]), !"0".equals(System.getenv("TROUBLE")));
+    } catch (Exception e) {
+      Record.say("no case: %s", e);
+    }
+    System.exit(code);
   }
 
   private static int run(Path root, boolean trouble) throws Exception {
--- a/review/standins-2/src/rig/Wire.java
+++ b/review/standins-2/src/rig/Wire.java
@@ -16,8 +16,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** HTTP/1.1 with CBOR bodies on loopback addresses, for all stand-ins. */
 final class Wire {
@@ -52,11 +55,19 @@
     return JsonNodeFactory.instance.objectNode();
   }
 
-  static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+  private static final Set<Integer> GIVEN = new HashSet<>();
+
+  /** A free port below those that the system gives to outgoing connections. */
+  static synchronized int freePort() {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(12_000, 31_000);
+      if (GIVEN.add(port)) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+          return socket.getLocalPort();
+        } catch (IOException e) {
+          // Taken: another one.
+        }
+      }
     }
   }
 
