--- a/review/standins-2/src/rig/Cloud.java
+++ b/review/standins-2/src/rig/Cloud.java
@@ -34,6 +34,7 @@
   final Map<String, Integer> capacity = new HashMap<>();
   private final StateService.Bucket requests;
   volatile boolean out;
+  volatile int refusedReleases;
   private int last;
 
   Cloud(World world, int port) throws IOException {
@@ -93,6 +94,8 @@
     String path = exchange.getRequestURI().getPath();
     Wire.pause(100);
     if (out) {
+      refusedReleases += path.equals("/machines/release") ? 1 : 0;
+      Record.say("cloud: 503 trouble to %s %s", exchange.getRequestMethod(), path);
       Wire.answer(exchange, 503, Wire.map().put("error", "trouble"));
     } else if (!requests.take(1)) {
       Wire.answer(exchange, 429, null);
--- a/review/standins-2/src/rig/Worker.java
+++ b/review/standins-2/src/rig/Worker.java
@@ -54,6 +54,9 @@
   volatile boolean cut;
   volatile double takenAt = -1;
 
+  /** When an answer last renewed the lease. */
+  volatile double answeredAt;
+
   Worker(World world, String host, String flavour, String zone, boolean lendable)
       throws IOException {
     this.world = world;
@@ -180,6 +183,7 @@
       return;
     }
     leaseFrom = Math.max(leaseFrom, sentAt);
+    answeredAt = Record.now();
     see(token);
     execute(body.path("orders"));
   }
