--- a/review/standins-2/src/rig/CaseReserve.java
+++ b/review/standins-2/src/rig/CaseReserve.java
@@ -17,12 +17,12 @@
 
   private static final double WAIT_S = 90;
 
-  public static void main(String[] args) throws Exception {
-    Record.open(Path.of(args[0]));
+  public static void main(String[] args) {
     int code = 2;
     try {
+      Record.open(Path.of(args[0]));
       code = run(Path.of(args[1]), !"0".equals(System.getenv("TROUBLE")));
-    } catch (Exception e) {
+    } catch (Throwable e) {
       Record.say("no case: %s", e);
     }
     System.exit(code);
--- a/review/standins-2/src/rig/StateService.java
+++ b/review/standins-2/src/rig/StateService.java
@@ -51,16 +51,14 @@
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private final Map<Long, Hold> holds = new HashMap<>();
   private final Bucket requests;
-  private volatile Bucket changes;
-  private volatile double valueBytes;
-  private volatile int txnOps;
+  private final Bucket changes;
+  private final double valueBytes;
+  private final int txnOps;
   private long epoch;
   private long dropped;
   private long nextHold;
   private volatile boolean out;
   private final boolean[] refused = new boolean[16];
-  volatile int tooLarge;
-
   /** Share of the transactions that get no answer, and whether these are applied at once. */
   volatile double lateShare;
 
@@ -78,13 +76,6 @@
     Wire.serve(port, (exchange, body) -> handle(node, exchange, body));
   }
 
-  /** Sets the limits that hold from now on. What is stored stays readable. */
-  void limits(double writeRps, double valueKb, int ops) {
-    changes = new Bucket(writeRps, writeRps);
-    valueBytes = valueKb * 1024;
-    txnOps = ops;
-  }
-
   synchronized void outage(boolean on) {
     out = on;
     if (!on) {
@@ -322,7 +313,6 @@
       large |= op.has("put") && op.path("data").toString().length() > valueBytes;
     }
     if (large) {
-      tooLarge++;
       Record.say("state service: 400, a value or transaction over the limits");
       return new Wire.Answer(400, Wire.map().put("error", "too large"), 0);
     }
@@ -366,15 +356,6 @@
     return new Wire.Answer(status, answer, 0);
   }
 
-  /** Size in characters of the largest stored value whose key has this prefix. */
-  synchronized int largest(String prefix) {
-    return items.entrySet().stream()
-        .filter(entry -> entry.getKey().startsWith(prefix))
-        .mapToInt(entry -> entry.getValue().data.toString().length())
-        .max()
-        .orElse(0);
-  }
-
   synchronized String holder(String prefix) {
     for (Map.Entry<String, Item> entry : items.tailMap(prefix).entrySet()) {
       if (entry.getKey().startsWith(prefix)) {
@@ -383,9 +364,4 @@
     }
     return "";
   }
-
-  synchronized JsonNode peek(String key) {
-    Item item = items.get(key);
-    return item == null ? null : item.data;
-  }
 }
--- a/review/standins-2/src/rig/World.java
+++ b/review/standins-2/src/rig/World.java
@@ -38,7 +38,9 @@
   double cloudRps = 2;
   double listLagS = 6;
   double memoryMb = 263;
-  ObjectNode nextLimits;
+
+  /** Seconds after which the program ends in any case. */
+  long limitSeconds = 117;
 
   /** Share of the direct commands that are held up and get no answer. */
   volatile double lateCommands;
@@ -79,6 +81,12 @@
   void start(Path root) throws IOException {
     folder = Files.createTempDirectory("case");
     Runtime.getRuntime().addShutdownHook(new Thread(this::stop));
+    Wire.THREADS.execute(
+        () -> {
+          Wire.pause(1000 * limitSeconds);
+          Record.say("no case: out of time");
+          System.exit(2);
+        });
     List<String> sites = List.of("leith", "gyle", "dundee");
     for (int i = 0; i < 3; i++) {
       controllers.add(new Controller("croft-" + i, sites.get(i), root, folder));
@@ -122,11 +130,8 @@
         .put("class", "order-capture").put("within_s", 1.0).put("share", 0.94);
     deployment.putObject("workers").put("report_s", reportS).put("lease_s", leaseS)
         .put("gang_wait_s", 40.0).put("gang_peer_s", 8.0).put("cancel_s", cancelS);
-    ObjectNode limits = deployment.putObject("state").put("rps", rps).put("write_rps", writeRps)
+    deployment.putObject("state").put("rps", rps).put("write_rps", writeRps)
         .put("value_kb", valueKb).put("txn_ops", txnOps);
-    if (nextLimits != null) {
-      limits.set("next", nextLimits);
-    }
     deployment.putObject("cloud").put("rps", cloudRps).put("list_lag_s", listLagS);
     deployment.putObject("machine_limits").put("core_share", 0.68).put("memory_mb", memoryMb)
         .put("max_sockets", 2000);
