Log what workers were told, under which token, and which orphaned attempts were our own

Cause: in the operators' records of a task on two machines the controllers' logs said nothing of commands, tokens or attempts that ran again; only the workers' own records told three hypotheses apart. Change: counts of commands (sent, rejected, unanswered), starts by either way, discards, raised fences and orphaned attempts in the figures of 30 s; shards with their stamps and the revision that was read. Of orphans and rejected commands at most 20 lines between two figures (an orphan had a line at each report before). Commands with their orders at debug.

--- a/src/main/java/dunlincroft/coordination/ClusterState.java
+++ b/src/main/java/dunlincroft/coordination/ClusterState.java
@@ -38,6 +38,9 @@
 final class ClusterState {
   private static final Logger LOG = LoggerFactory.getLogger(ClusterState.class);
 
+  /** Bits of an attempt number that count attempts within one period of ownership. */
+  private static final int ATTEMPT_COUNT_BITS = 24;
+
   final Settings settings;
   final Policy policy;
   final Env env;
@@ -117,7 +120,12 @@
    */
   long nextAttempt(String shard) {
     long number = attemptCounts.merge(shard, 1L, Long::sum);
-    return (ownedShards.getLong(shard) << 24) + number;
+    return (ownedShards.getLong(shard) << ATTEMPT_COUNT_BITS) + number;
+  }
+
+  /** Whether an attempt on a machine was started in the present period of ownership. */
+  boolean isOwnAttempt(Machine machine, long attempt) {
+    return attempt >>> ATTEMPT_COUNT_BITS == ownedShards.getLong(machine.shard);
   }
 
   /**
--- a/src/main/java/dunlincroft/coordination/Controller.java
+++ b/src/main/java/dunlincroft/coordination/Controller.java
@@ -330,7 +330,12 @@
         "leader="
             + membership.leader()
             + " shards="
-            + cluster.ownedShards.keySet()
+            + cluster.ownedShards
+            + " revision="
+            + cluster.replica.revision()
+            + " read "
+            + cluster.feed.stalenessMs()
+            + " ms ago"
             + " jobs="
             + cluster.jobIndex.all().size()
             + " machines="
--- a/src/main/java/dunlincroft/coordination/DirectCommands.java
+++ b/src/main/java/dunlincroft/coordination/DirectCommands.java
@@ -45,11 +45,12 @@
     }
     long fence = cluster.fenceToken(machine);
     List<WorkerOrder> orders = workerOrders.forMachine(machine, fence, true);
-    if (orders.stream().allMatch(DirectCommands::isDeferrable)
-        && machine.session.fenceSeen() >= fence) {
+    if (areDeferrable(orders) && machine.session.fenceSeen() >= fence) {
       return;
     }
     machine.session.setCommandInFlight(true);
+    countSent(orders);
+    LOG.debug("command to host {} under fence {}: {}", machine.host, fence, orders);
     ObjectNode body =
         WorkerOrder.body(fence, orders).put("tenure", machine.session.sessionNumber());
     AnswerHandler.LastReport lastReport = AnswerHandler.LastReport.of(machine);
@@ -63,12 +64,20 @@
         reply -> onReply(machine, fence, lastReport, reply));
   }
 
+  private void countSent(List<WorkerOrder> orders) {
+    int starts = (int) orders.stream().filter(WorkerOrder::isRun).count();
+    cluster.metrics.count(Metrics.Event.COMMAND);
+    cluster.metrics.count(Metrics.Event.DIRECT_START, starts);
+    cluster.metrics.count(
+        Metrics.Event.DISCARD, (int) orders.stream().filter(WorkerOrder::isDiscard).count());
+  }
+
   /**
-   * Whether an order can wait for the next heartbeat: ended tasks may stay in the reports, and
+   * Whether all orders can wait for the next heartbeat: ended tasks may stay in the reports, and
    * discarding them is not worth a call.
    */
-  private static boolean isDeferrable(WorkerOrder order) {
-    return order.verb().equals(Wire.DISCARD);
+  private static boolean areDeferrable(List<WorkerOrder> orders) {
+    return orders.stream().allMatch(WorkerOrder::isDiscard);
   }
 
   private void onReply(
@@ -80,6 +89,7 @@
       if (reply.mayBeExecuted()) {
         // The command may be executed minutes later, as long as the fence stays.
         machine.session.onUnresolvedCommand(fence);
+        cluster.metrics.count(Metrics.Event.COMMAND_UNANSWERED);
         if (cluster.machines.get(machine.host) == machine) {
           probe.suspectMissedAnswer(machine);
         }
@@ -91,14 +101,21 @@
     if (cluster.machines.get(machine.host) != machine) {
       return;
     }
+    if (reply.status() == 409 && cluster.metrics.countForLine(Metrics.Event.COMMAND_REJECTED)) {
+      LOG.info(
+          "host {} rejected a direct command under fence {}, session {}",
+          machine.host,
+          fence,
+          lastReport.sessionNumber());
+    }
     if (!answers.process(machine, lastReport, reply)) {
       return;
     }
     if (reply.status() == 200 || pushRequested) {
       boolean hasMore =
           pushRequested
-              || !workerOrders.forMachine(machine, cluster.fenceToken(machine), true).stream()
-                  .allMatch(DirectCommands::isDeferrable);
+              || !areDeferrable(
+                  workerOrders.forMachine(machine, cluster.fenceToken(machine), true));
       if (hasMore) {
         cluster.env.after(Constants.PLACEMENT_INTERVAL_MS, () -> pushIfOwned(machine));
       }
--- a/src/main/java/dunlincroft/coordination/FenceRaiser.java
+++ b/src/main/java/dunlincroft/coordination/FenceRaiser.java
@@ -39,6 +39,7 @@
         txn,
         result -> {
           machine.isRaisingFence = false;
+          cluster.metrics.count(Metrics.Event.FENCE_RAISED);
           LOG.info("fence of host {} raised: {}", machine.host, result.outcome());
         });
   }
--- a/src/main/java/dunlincroft/coordination/HeartbeatHandler.java
+++ b/src/main/java/dunlincroft/coordination/HeartbeatHandler.java
@@ -1,7 +1,6 @@
 package dunlincroft.coordination;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dunlincroft.protocol.Wire;
 import dunlincroft.protocol.WorkerOrder;
 import dunlincroft.protocol.WorkerReport;
 import java.util.List;
@@ -76,8 +75,11 @@
       probe.suspectMissedAnswer(machine);
     }
     List<WorkerOrder> orders = workerOrders.forMachine(machine, fence, false);
-    boolean hasStarts = orders.stream().anyMatch(order -> order.verb().equals(Wire.RUN));
-    machine.session.onAnswered(fence, hasStarts, cluster.now());
+    int starts = (int) orders.stream().filter(WorkerOrder::isRun).count();
+    int discards = (int) orders.stream().filter(WorkerOrder::isDiscard).count();
+    cluster.metrics.count(Metrics.Event.HEARTBEAT_START, starts);
+    cluster.metrics.count(Metrics.Event.DISCARD, discards);
+    machine.session.onAnswered(fence, starts > 0, cluster.now());
     return WorkerOrder.body(fence, orders);
   }
 
--- a/src/main/java/dunlincroft/coordination/Metrics.java
+++ b/src/main/java/dunlincroft/coordination/Metrics.java
@@ -15,6 +15,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
   private static final long MAX_RECORDED_WAIT_MS = 3_600_000;
 
+  /** Log lines about single occurrences of one event between two summaries. */
+  static final int MAX_LINES_PER_EVENT = 20;
+
   /** Events counted between two log lines. */
   enum Event {
     /** This controller acquired a shard. */
@@ -42,7 +45,31 @@
     STANDSTILL,
 
     /** A heartbeat was answered on behalf of an owner that is unavailable. */
-    STOOD_IN
+    STOOD_IN,
+
+    /** A direct command was sent to a worker. */
+    COMMAND,
+
+    /** A worker rejected a direct command because of its fence or session. */
+    COMMAND_REJECTED,
+
+    /** A direct command that may have been carried out was not answered in time. */
+    COMMAND_UNANSWERED,
+
+    /** A start was sent in a direct command. */
+    DIRECT_START,
+
+    /** A start was sent in the answer to a heartbeat. */
+    HEARTBEAT_START,
+
+    /** A worker was told to discard an ended attempt. */
+    DISCARD,
+
+    /** The fence of a machine was raised by a write. */
+    FENCE_RAISED,
+
+    /** A worker runs an attempt that no record names. */
+    ORPHAN
   }
 
   /** Types of requests that are counted when they are answered with 503. */
@@ -64,7 +91,19 @@
   }
 
   void count(Event event) {
-    eventCounts.merge(event, 1, Integer::sum);
+    count(event, 1);
+  }
+
+  void count(Event event, int occurrences) {
+    if (occurrences > 0) {
+      eventCounts.merge(event, occurrences, Integer::sum);
+    }
+  }
+
+  /** Counts an event; returns whether it still gets a log line of its own before the summary. */
+  boolean countForLine(Event event) {
+    count(event);
+    return eventCounts.get(event) <= MAX_LINES_PER_EVENT;
   }
 
   /** Counts a request that was answered with 503. */
--- a/src/main/java/dunlincroft/coordination/WorkerOrders.java
+++ b/src/main/java/dunlincroft/coordination/WorkerOrders.java
@@ -59,11 +59,7 @@
         continue;
       }
       if (!reported.hasExited()) {
-        LOG.info(
-            "host {} runs orphaned task {} attempt {}: stopping it",
-            machine.host,
-            reported.id(),
-            reported.attempt());
+        logOrphan(machine, reported);
         orders.add(WorkerOrder.kill(reported.id(), reported.attempt(), 0));
       } else if (absenceProven) {
         // Once the worker has discarded the ended task, a delayed order to run the same attempt
@@ -122,6 +118,21 @@
     }
   }
 
+  private void logOrphan(Machine machine, TaskReport reported) {
+    if (cluster.metrics.countForLine(Metrics.Event.ORPHAN)) {
+      LOG.info(
+          "host {} runs orphaned task {} attempt {}, {}: stopping it; session {}, fence seen {}",
+          machine.host,
+          reported.id(),
+          reported.attempt(),
+          cluster.isOwnAttempt(machine, reported.attempt())
+              ? "which we started and which had ended"
+              : "which a former owner started",
+          machine.session.sessionNumber(),
+          machine.session.fenceSeen());
+    }
+  }
+
   /** Whether a record of this task is being written or belongs to a shard of another node. */
   private boolean hasUnsettledRecord(TaskReport reported) {
     JobRun job = cluster.jobs.get(reported.job());
--- a/src/main/java/dunlincroft/protocol/WorkerOrder.java
+++ b/src/main/java/dunlincroft/protocol/WorkerOrder.java
@@ -26,6 +26,14 @@
     return new WorkerOrder(Wire.DISCARD, taskId, attempt, 0);
   }
 
+  public boolean isRun() {
+    return verb.equals(Wire.RUN);
+  }
+
+  public boolean isDiscard() {
+    return verb.equals(Wire.DISCARD);
+  }
+
   /**
    * A message body with orders: the answer to a worker heartbeat. A direct command has the worker's
    * session number in addition, {@code tenure} on the wire.
