Reproduce the task on two machines: late copies of answered commands

Cause: not mended here. The simulated network now delivers copies of messages that were carried out, of any kind, 0.2 s to several leases later, to whichever process then serves the address.

--- a/src/test/java/dunlincroft/sim/InvariantChecks.java
+++ b/src/test/java/dunlincroft/sim/InvariantChecks.java
@@ -251,6 +251,12 @@
     return (int) workersRunning(ref).stream().filter(worker -> !excluded.contains(worker)).count();
   }
 
+  /** Whether a task runs on another machine than this one. */
+  boolean runsElsewhere(String taskName, String host) {
+    return placed(taskName.substring(0, taskName.indexOf('/'))).stream()
+        .anyMatch(each -> each.task.name.equals(taskName) && !each.worker.host.equals(host));
+  }
+
   /** Number of tasks of a job that run now. */
   int running(String ref) {
     return workersRunning(ref).size();
--- a/src/test/java/dunlincroft/sim/SimCluster.java
+++ b/src/test/java/dunlincroft/sim/SimCluster.java
@@ -397,6 +397,16 @@
                   receiving,
                   other.queuedMessages,
                   () -> other.controller.onPeerHeartbeat(heartbeat)));
+      net.repeatedMessages.onPeerHeartbeat(
+          () ->
+              other.runOrQueue(
+                  other.incarnation,
+                  other.queuedMessages,
+                  () -> {
+                    if (other.controller != null) {
+                      other.controller.onPeerHeartbeat(heartbeat);
+                    }
+                  }));
     }
 
     /** Runs an action now. While the node is paused, messages and timers are queued instead. */
@@ -711,6 +721,12 @@
     clock.after(ms, () -> heartbeatCopyShare = 0);
   }
 
+  /** A fraction of all messages of these kinds are carried out once more, later. */
+  void repeatMessages(Set<RepeatedMessages.Kind> kinds, double share, int maxDelayMs, long ms) {
+    net.repeatedMessages.repeat(kinds, share, maxDelayMs);
+    clock.after(ms, net.repeatedMessages::stop);
+  }
+
   /** A fraction of all direct commands are delayed in transit and carried out seconds later. */
   void delayCommands(double share, long ms) {
     Random commandRandom = new Random(clock.now());
--- a/src/test/java/dunlincroft/sim/SimNet.java
+++ b/src/test/java/dunlincroft/sim/SimNet.java
@@ -94,10 +94,14 @@
   /** Commands and releases that are delayed in transit. */
   final DelayedCommands delayedCommands;
 
+  /** Messages that are carried out and delivered once more later. */
+  final RepeatedMessages repeatedMessages;
+
   SimNet(VirtualClock clock, Random random) {
     this.clock = clock;
     this.random = random;
     delayedCommands = new DelayedCommands(this, clock);
+    repeatedMessages = new RepeatedMessages(this, clock);
   }
 
   void serve(String address, Server server) {
@@ -215,6 +219,7 @@
           if (this.delayedCommands.delayIfSelected(from, to, call.path(), parsed)) {
             return;
           }
+          repeatedMessages.onExecuted(from, call, parsed);
           IntPredicate isLost = losesAnswer.apply(call, parsed);
           Responder respond =
               (status, answer) -> {
@@ -263,6 +268,24 @@
     }
   }
 
+  /** Has a server carry out a call again, if it is there and does not refuse the sender. */
+  void execute(String from, Call call, ObjectNode body, Responder answer) {
+    Server server = servers.get(call.address());
+    if (server == null || refusedRequests.containsKey(from + ">" + call.address())) {
+      return;
+    }
+    server.handle(
+        call.method(),
+        call.path(),
+        body,
+        (status, map) -> {
+          if (call.path().equals("/multi")) {
+            transactionListeners.forEach(each -> each.onTransaction(from, body, status));
+          }
+          answer.send(status, map);
+        });
+  }
+
   /**
    * Delivers a message over one direction of a connection: lost packets are retransmitted, and the
    * order is kept.
@@ -287,7 +310,7 @@
     delayFactors.put(address, delayFactor);
   }
 
-  private void deliver(String from, String to, Runnable arrive) {
+  void deliver(String from, String to, Runnable arrive) {
     double slowest =
         Math.max(delayFactors.getOrDefault(from, 1.0), delayFactors.getOrDefault(to, 1.0));
     String pair = pair(from, to);
