Discard an ended attempt only once no copy of its start can be carried out

Cause: the worker was told to discard an ended attempt as soon as every direct command had been answered. That proof assumed that one message is carried out once. A copy of an answered command stays valid until the worker has seen a higher fence; after the discard the worker no longer knows the attempt and starts it again. A class of its own: a right that had not lapsed, taken for used up. Change: a start that was sent as a direct command is remembered with its fence (DirectStarts), and its attempt is discarded only once the worker has seen a higher one. Stand-ins of an outage no longer take such a fence for another stand-in's. A machine whose report lists 280 tasks gets no new work, which keeps reports below 64 KiB.

--- a/src/main/java/dunlincroft/coordination/ClusterState.java
+++ b/src/main/java/dunlincroft/coordination/ClusterState.java
@@ -107,10 +107,12 @@
   }
 
   /**
-   * The higher of the stamps of a machine's block and shard; it grows with every change of owner.
+   * The highest of the stamps of a machine's block and shard, which grow with every change of
+   * owner, and of the revision to which this owner has raised the fence without a write.
    */
   long fenceToken(Machine machine) {
-    return Math.max(machine.blockStamp, ownedShards.getLong(machine.shard));
+    long recordedFence = Math.max(machine.blockStamp, ownedShards.getLong(machine.shard));
+    return Math.max(recordedFence, machine.readFence);
   }
 
   /**
--- a/src/main/java/dunlincroft/coordination/DirectCommands.java
+++ b/src/main/java/dunlincroft/coordination/DirectCommands.java
@@ -50,6 +50,9 @@
     }
     machine.session.setCommandInFlight(true);
     countSent(orders);
+    orders.stream()
+        .filter(WorkerOrder::isRun)
+        .forEach(order -> machine.session.onDirectStart(order.taskId(), fence));
     LOG.debug("command to host {} under fence {}: {}", machine.host, fence, orders);
     ObjectNode body =
         WorkerOrder.body(fence, orders).put("tenure", machine.session.sessionNumber());
--- a/src/main/java/dunlincroft/coordination/FenceRaiser.java
+++ b/src/main/java/dunlincroft/coordination/FenceRaiser.java
@@ -8,7 +8,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Raises the fence of a machine, so that commands in flight under the older fence become void. */
+/**
+ * Raises the fence of a machine, so that commands under the older fence become void: those in
+ * flight, and late copies of those that were carried out.
+ */
 final class FenceRaiser {
   private static final Logger LOG = LoggerFactory.getLogger(FenceRaiser.class);
 
@@ -18,6 +21,26 @@
     this.cluster = cluster;
   }
 
+  /**
+   * Raises the fence to the revision that this node has read, without a write. At that revision the
+   * records still name this node as the owner. A later owner begins with a write, whose revision is
+   * higher, so its fence is above this one. Returns false if nothing newer has been read.
+   */
+  boolean raiseToReadRevision(Machine machine) {
+    long revision = cluster.replica.revision();
+    BlockIndex.Block block = cluster.blocks.blockOf(machine.host);
+    boolean isOwner =
+        cluster.owns(machine.shard)
+            && block != null
+            && block.record().shard().equals(machine.shard);
+    if (!isOwner || revision <= cluster.fenceToken(machine)) {
+      return false;
+    }
+    machine.readFence = revision;
+    cluster.metrics.count(Metrics.Event.FENCE_READ);
+    return true;
+  }
+
   /**
    * Rewrites the block record: its new stamp is the new fence, and commands still in flight under
    * the older one become void.
--- a/src/main/java/dunlincroft/coordination/HeartbeatHandler.java
+++ b/src/main/java/dunlincroft/coordination/HeartbeatHandler.java
@@ -14,16 +14,19 @@
   private final ClusterState cluster;
   private final ReportHandler reportHandler;
   private final WorkerOrders workerOrders;
+  private final FenceRaiser fenceRaiser;
   private final MachineProbe probe;
 
   HeartbeatHandler(
       ClusterState cluster,
       ReportHandler reportHandler,
       WorkerOrders workerOrders,
+      FenceRaiser fenceRaiser,
       MachineProbe probe) {
     this.cluster = cluster;
     this.reportHandler = reportHandler;
     this.workerOrders = workerOrders;
+    this.fenceRaiser = fenceRaiser;
     this.probe = probe;
   }
 
@@ -32,6 +35,11 @@
    * has already seen a fence above ours.
    */
   ObjectNode answer(Machine machine, WorkerReport report) {
+    if (report.fence() > cluster.fenceToken(machine)
+        && report.fence() <= cluster.replica.revision()) {
+      // No other owner's fence can be that low: a stand-in has raised it, or this node itself.
+      fenceRaiser.raiseToReadRevision(machine);
+    }
     long fence = cluster.fenceToken(machine);
     if (report.fence() > fence) {
       LOG.info(
@@ -74,6 +82,9 @@
       machine.session.discountReport(previouslyHeardMs);
       probe.suspectMissedAnswer(machine);
     }
+    if (mustVoidCopiedStarts(machine) && fenceRaiser.raiseToReadRevision(machine)) {
+      fence = cluster.fenceToken(machine);
+    }
     List<WorkerOrder> orders = workerOrders.forMachine(machine, fence, false);
     int starts = (int) orders.stream().filter(WorkerOrder::isRun).count();
     int discards = (int) orders.stream().filter(WorkerOrder::isDiscard).count();
@@ -83,6 +94,16 @@
     return WorkerOrder.body(fence, orders);
   }
 
+  /**
+   * Whether an ended attempt must stay with the worker until it has seen a higher fence. While a
+   * command is in flight the fence is left alone, as the worker would reject the command.
+   */
+  private static boolean mustVoidCopiedStarts(Machine machine) {
+    return !machine.session.isCommandInFlight()
+        && machine.reportedTasks.stream()
+            .anyMatch(task -> task.hasExited() && machine.session.isStartRepeatable(task.id()));
+  }
+
   /** Whether a start was sent in an answer and is missing from the report that followed. */
   private static boolean isUnconfirmedStart(Placement placement) {
     return placement.recorded
--- a/src/main/java/dunlincroft/coordination/Machine.java
+++ b/src/main/java/dunlincroft/coordination/Machine.java
@@ -31,6 +31,12 @@
     CONTENDED
   }
 
+  /**
+   * Most tasks in a report of a machine that gets new work: a report has at most 64 KiB, and an
+   * entry with the longest job id and attempt takes some 230 bytes.
+   */
+  private static final int MAX_REPORTED_TASKS = 280;
+
   final String host;
   final String shard;
   final String typeLabel;
@@ -62,6 +68,12 @@
    */
   long blockStamp;
 
+  /**
+   * A revision of the state service that this owner had read when it raised the machine's fence to
+   * it without a write; 0: it has not done so.
+   */
+  long readFence;
+
   final MachineSession session;
   MachineLifecycle lifecycle = MachineLifecycle.IN_USE;
 
@@ -246,6 +258,7 @@
         && type != null
         && blockStamp > 0
         && drainReason == null
+        && reportedTasks.size() < MAX_REPORTED_TASKS
         && targetShard == null
         && !isMoving
         && nowMs - session.lastHeardMs() < suspectAfterMs
--- a/src/main/java/dunlincroft/coordination/MachineSession.java
+++ b/src/main/java/dunlincroft/coordination/MachineSession.java
@@ -88,6 +88,9 @@
   private boolean isCommandInFlight;
   private boolean isProbeInFlight;
 
+  /** Starts sent as direct commands that a late copy may repeat. */
+  private final DirectStarts directStarts = new DirectStarts();
+
   MachineSession(long nowMs) {
     this.lastHeardMs = nowMs;
   }
@@ -175,6 +178,19 @@
     return hasSeenOurFence() && !hasUnresolvedCommand() && !hasStartsInFlight && !isCommandInFlight;
   }
 
+  /**
+   * Whether the worker may discard an ended attempt of a task: no start of the task can be carried
+   * out any more, neither one in flight nor a late copy of one that was answered.
+   */
+  boolean canDiscard(String task) {
+    return isAbsenceProven() && !directStarts.isRepeatable(task);
+  }
+
+  /** Whether a late copy of a direct command could start this task again once it is discarded. */
+  boolean isStartRepeatable(String task) {
+    return directStarts.isRepeatable(task);
+  }
+
   /** Whether a report is newer than those received before. */
   boolean isNewer(WorkerReport report) {
     return report.isNewerThan(sessionNumber, counter);
@@ -212,6 +228,7 @@
     counter = report.counter();
     fenceSeen = report.fence();
     lastHeardMs = nowMs;
+    directStarts.onFenceSeen(fenceSeen);
     if (unresolvedFence < fenceSeen) {
       unresolvedFence = NO_FENCE;
     }
@@ -282,6 +299,11 @@
     isProbeInFlight = inFlight;
   }
 
+  /** A start of a task was sent as a direct command under a fence. */
+  void onDirectStart(String task, long fence) {
+    directStarts.onSent(task, fence);
+  }
+
   /** Sets whether a direct command to the worker is in flight. */
   void setCommandInFlight(boolean inFlight) {
     isCommandInFlight = inFlight;
--- a/src/main/java/dunlincroft/coordination/Metrics.java
+++ b/src/main/java/dunlincroft/coordination/Metrics.java
@@ -68,6 +68,9 @@
     /** The fence of a machine was raised by a write. */
     FENCE_RAISED,
 
+    /** The fence of a machine was raised to the revision that was read, without a write. */
+    FENCE_READ,
+
     /** A worker runs an attempt that no record names. */
     ORPHAN
   }
--- a/src/main/java/dunlincroft/coordination/ProxyOwner.java
+++ b/src/main/java/dunlincroft/coordination/ProxyOwner.java
@@ -9,8 +9,10 @@
 import dunlincroft.protocol.WorkerReport;
 import dunlincroft.protocol.WorkerReport.TaskReport;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Answers heartbeats on behalf of an owner that is gone while the state service is unavailable and
@@ -39,6 +41,9 @@
    */
   private final Map<String, Long> cancelledJobs = new HashMap<>();
 
+  /** Machines whose workers this node answers in the present outage; it goes on with them. */
+  private final Set<String> answeredHosts = new HashSet<>();
+
   ProxyOwner(ClusterState cluster, Membership membership) {
     this.cluster = cluster;
     this.membership = membership;
@@ -56,11 +61,16 @@
    */
   boolean canAnswer(WorkerReport report, BlockIndex.Block block) {
     if (!isCommonOutage()) {
+      answeredHosts.clear();
       return false;
     }
     String shard = block.record().shard();
     long recordedFence = Math.max(block.stamp(), cluster.replica.stamp(Replica.SHARDS, shard));
-    boolean hasNoOtherOwner = report.fence() > recordedFence || !membership.isOwnerAlive(shard);
+    // An owner raises fences up to the revision that it has read; a higher one is a stand-in's,
+    // under which the owner can give no orders.
+    boolean isAboveOwner = report.fence() > Math.max(recordedFence, cluster.replica.revision());
+    boolean hasNoOtherOwner =
+        isAboveOwner || answeredHosts.contains(report.host()) || !membership.isOwnerAlive(shard);
     return hasNoOtherOwner && membership.cancellationLagMs() <= cluster.maxCancellationLagMs();
   }
 
@@ -90,6 +100,7 @@
             .map(task -> WorkerOrder.kill(task.id(), task.attempt(), 0))
             .toList();
     cluster.metrics.count(Metrics.Event.STOOD_IN);
+    answeredHosts.add(report.host());
     return WorkerOrder.body(
         Math.max(report.fence(), membership.highestCancellationRevision()), orders);
   }
--- a/src/main/java/dunlincroft/coordination/WorkerOrders.java
+++ b/src/main/java/dunlincroft/coordination/WorkerOrders.java
@@ -61,9 +61,9 @@
       if (!reported.hasExited()) {
         logOrphan(machine, reported);
         orders.add(WorkerOrder.kill(reported.id(), reported.attempt(), 0));
-      } else if (absenceProven) {
-        // Once the worker has discarded the ended task, a delayed order to run the same attempt
-        // would start it again; hence the proof that no such order is in flight.
+      } else if (machine.session.canDiscard(reported.id())) {
+        // Once the worker has discarded the ended task, an order to run the same attempt would
+        // start it again; hence the proof that no such order, nor a copy of one, is still valid.
         orders.add(WorkerOrder.discard(reported.id(), reported.attempt()));
       } else {
         needsProof = true;
--- a/src/main/java/dunlincroft/coordination/WorkerProtocol.java
+++ b/src/main/java/dunlincroft/coordination/WorkerProtocol.java
@@ -17,6 +17,6 @@
     commands = new DirectCommands(cluster, orders, answers, probe);
     probe.setAnswerListener(commands::push);
     orders.setStartsDueListener(commands::push);
-    heartbeats = new HeartbeatHandler(cluster, reports, orders, probe);
+    heartbeats = new HeartbeatHandler(cluster, reports, orders, fences, probe);
   }
 }
--- a/src/test/java/dunlincroft/coordination/MachineSessionTest.java
+++ b/src/test/java/dunlincroft/coordination/MachineSessionTest.java
@@ -198,4 +198,28 @@
       default -> session.onRestart(OUR_FENCE);
     }
   }
+
+  /** A copy of an answered start stays valid until the worker has seen a higher fence. */
+  @Test
+  void anEndedAttemptIsKeptWhileACopyOfItsStartIsValid() {
+    session.onReport(report(1, 1, OUR_FENCE), 0);
+    session.onDirectStart("run-1/0", OUR_FENCE);
+    session.onReport(report(1, 2, OUR_FENCE), 0);
+    assertThat(session.isAbsenceProven()).isTrue();
+    assertThat(session.canDiscard("run-1/0")).isFalse();
+    assertThat(session.canDiscard("run-1/1")).isTrue();
+    session.onReport(report(1, 3, OUR_FENCE + 1), 0);
+    assertThat(session.canDiscard("run-1/0")).isTrue();
+  }
+
+  /** A start that is sent again under a higher fence stays valid under that one. */
+  @Test
+  void aRepeatedStartCountsUnderItsHighestFence() {
+    session.onDirectStart("run-1/0", OUR_FENCE);
+    session.onDirectStart("run-1/0", OUR_FENCE + 2);
+    session.onReport(report(1, 1, OUR_FENCE + 1), 0);
+    assertThat(session.canDiscard("run-1/0")).isFalse();
+    session.onReport(report(1, 2, OUR_FENCE + 3), 0);
+    assertThat(session.canDiscard("run-1/0")).isTrue();
+  }
 }
--- a/src/test/java/dunlincroft/sim/FaultPairsTest.java
+++ b/src/test/java/dunlincroft/sim/FaultPairsTest.java
@@ -27,11 +27,12 @@
   private static final int PAIRS_PER_DAY = 4;
   private static final long FIRST_PAIR_MS = 30_000;
   private static final long PAIR_INTERVAL_MS = 45_000;
+  static final long DAY_MS = 700_000;
   private static final long FAULTS_OVER_MS =
       FIRST_PAIR_MS + PAIRS_PER_DAY * PAIR_INTERVAL_MS + 40_000;
 
   /** A fault, when it is injected, and how long it lasts. */
-  private record PlannedFault(long at, InjectedFault fault, long durationMs) {
+  record PlannedFault(long at, InjectedFault fault, long durationMs) {
     @Override
     public String toString() {
       return fault + " at " + at + " for " + durationMs;
@@ -117,6 +118,13 @@
   }
 
   private static SimCluster play(long seed, List<PlannedFault> plan) throws MalformedException {
+    SimCluster cluster = prepare(seed, plan);
+    cluster.clock.runUntil(DAY_MS);
+    return cluster;
+  }
+
+  /** A cluster at the beginning of a day with the planned faults. */
+  static SimCluster prepare(long seed, List<PlannedFault> plan) throws MalformedException {
     Policy policy = seed % 4 == 0 ? Policy.parse("holder_machines = 12;") : Policy.DEFAULT;
     SimCluster cluster = new SimCluster(seed, policy, seed % 3 == 0 ? Size.SMALL : Size.FLEET);
     Random random = new Random(seed);
@@ -131,11 +139,11 @@
     for (PlannedFault each : plan) {
       cluster.clock.after(each.at, () -> each.fault.inject(cluster, each.durationMs));
     }
-    cluster.clock.runUntil(700_000);
     return cluster;
   }
 
-  private static List<String> faults(SimCluster cluster) {
+  /** What the day broke. */
+  static List<String> faults(SimCluster cluster) {
     List<String> faults = new ArrayList<>(cluster.checks.violations);
     if (cluster.checks.finalStates.size() < cluster.submittedJobs()) {
       faults.add(
