--- a/src/test/java/dunlincroft/sim/RepeatedCommandsTest.java
+++ b/src/test/java/dunlincroft/sim/RepeatedCommandsTest.java
@@ -6,6 +6,7 @@
 import dunlincroft.operators.Policy;
 import dunlincroft.protocol.JobSpec;
 import dunlincroft.protocol.MalformedException;
+import dunlincroft.sim.RepeatedMessages.ExecutedCommand;
 import dunlincroft.sim.RepeatedMessages.Kind;
 import dunlincroft.sim.SimCluster.Size;
 import java.util.EnumSet;
@@ -127,4 +128,83 @@
     assertThat(cluster.orderLog.rerunAfterReap).as("attempts that ran again").isEmpty();
     assertThat(cluster.checks.finalStates).as("every job ends").hasSize(LONG_JOBS);
   }
+
+  /**
+   * Workers restart under their names and have forgotten the fence that they had seen; the copies
+   * reach the new process.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void restartedWorkerStartsNothingThatEndedBefore(long seed) throws MalformedException {
+    SimCluster cluster = clusterAtItsLimit(seed);
+    int[] reachedNewProcess = new int[1];
+    cluster.net.repeatedMessages.onCommandCopy =
+        (host, command) -> {
+          SimWorker worker = cluster.cloud.machines.get(host);
+          reachedNewProcess[0] += worker != null && worker.fenceToken() == 0 ? 1 : 0;
+        };
+    for (long at = 20_000; at < FAULTS_END_MS; at += 7000) {
+      cluster.clock.after(
+          at,
+          () ->
+              InjectedFault.busiestMachines(cluster).forEach(worker -> worker.restart(RESTART_MS)));
+    }
+    cluster.clock.runUntil(FIRST_SUBMIT_MS);
+    cluster.repeatMessages(EnumSet.of(Kind.COMMAND), 0.3, 16_000, FAULTS_END_MS - FIRST_SUBMIT_MS);
+    cluster.clock.runUntil(500_000);
+    assertThat(cluster.checks.violations).isEmpty();
+    assertThat(cluster.checks.finalStates).as("every job ends").hasSize(JOBS);
+  }
+
+  /** Whether a command starts an attempt that the worker discarded and whose task has moved. */
+  private static boolean hasStartOfMovedTask(
+      SimCluster cluster, SimWorker worker, ExecutedCommand command) {
+    for (JsonNode order : command.body().path("orders")) {
+      String task = order.path("piece").asText();
+      if (order.path("verb").asText().equals("run")
+          && !worker.holds(task, order.path("try").asLong())
+          && cluster.checks.runsElsewhere(task, worker.host)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Restarts the machines whose failed tasks have moved, and repeats the starts of these tasks. */
+  private static void restartAndRepeat(SimCluster cluster) {
+    RepeatedMessages copies = cluster.net.repeatedMessages;
+    for (ExecutedCommand command : List.copyOf(copies.executedCommands)) {
+      SimWorker worker = cluster.cloud.machines.get(command.call().address());
+      if (worker != null && worker.isAvailable() && hasStartOfMovedTask(cluster, worker, command)) {
+        copies.executedCommands.remove(command);
+        worker.restart(RESTART_MS);
+        cluster.clock.after(RESTART_MS + 20, () -> copies.repeatNow(command));
+      }
+    }
+  }
+
+  /** Machines on which tasks failed restart while the tasks run elsewhere; then the copies come. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void restartedWorkerDoesNotStartTasksThatMoved(long seed) throws MalformedException {
+    SimCluster cluster = new SimCluster(seed, Policy.DEFAULT, Size.FLEET);
+    RepeatedMessages copies = cluster.net.repeatedMessages;
+    copies.keepCommands();
+    cluster.checks.setFaultsEnd(FAULTS_END_MS);
+    for (int i = 0; i < LONG_JOBS; i++) {
+      JobSpec spec = InvariantsTest.batchJob("run-" + i, "blue", 3, 2, 40, 0);
+      cluster.clock.after(10_000 + 500L * i, () -> cluster.submitAndFollow(spec, 0));
+    }
+    cluster.clock.runUntil(FIRST_SUBMIT_MS);
+    makeMachinesSick(cluster);
+    for (long at = FIRST_SUBMIT_MS; at < FIRST_SUBMIT_MS + 30_000; at += 500) {
+      cluster.clock.runUntil(at);
+      restartAndRepeat(cluster);
+    }
+    cluster.clock.runUntil(500_000);
+    assertThat(copies.acceptedCommands).as("copies accepted by new processes").isPositive();
+    assertThat(cluster.checks.violations).isEmpty();
+    assertThat(cluster.orderLog.rerunAfterReap).as("attempts that ran again").isEmpty();
+    assertThat(cluster.checks.finalStates).as("every job ends").hasSize(LONG_JOBS);
+  }
 }
--- a/src/test/java/dunlincroft/sim/RepeatedMessages.java
+++ b/src/test/java/dunlincroft/sim/RepeatedMessages.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.transport.Env.Call;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -43,6 +45,9 @@
     }
   }
 
+  /** A direct command that was carried out. */
+  record ExecutedCommand(String from, Call call, ObjectNode body) {}
+
   /** Least delay of a copy after its original. */
   static final int MIN_DELAY_MS = 200;
 
@@ -61,6 +66,11 @@
   /** Number of copied commands that workers accepted, by fence token and session. */
   int acceptedCommands;
 
+  /** All direct commands carried out since {@link #keepCommands} was called. */
+  final List<ExecutedCommand> executedCommands = new ArrayList<>();
+
+  private boolean keepsCommands;
+
   /** Called with the address of the worker and the body of each copied command that arrives. */
   BiConsumer<String, ObjectNode> onCommandCopy = (host, body) -> {};
 
@@ -85,8 +95,28 @@
     return delivered.getOrDefault(kind, 0);
   }
 
+  /**
+   * From now on, keeps the direct commands that are carried out, so that a test can repeat them.
+   */
+  void keepCommands() {
+    keepsCommands = true;
+  }
+
+  /** Has the worker carry out a command again, at once. */
+  void repeatNow(ExecutedCommand command) {
+    delivered.merge(Kind.COMMAND, 1, Integer::sum);
+    net.execute(
+        command.from,
+        command.call,
+        command.body.deepCopy(),
+        (status, answer) -> onAnswer(Kind.COMMAND, status));
+  }
+
   /** Notes a call that is being carried out, and delivers it once more later if it is selected. */
   void onExecuted(String from, Call call, ObjectNode body) {
+    if (keepsCommands && Kind.of(call) == Kind.COMMAND) {
+      executedCommands.add(new ExecutedCommand(from, call, body.deepCopy()));
+    }
     Kind kind = kinds.isEmpty() ? null : Kind.of(call);
     if (kind == null || !isSelected(kind)) {
       return;
--- a/src/test/java/dunlincroft/sim/RepeatedMessagesTest.java
+++ b/src/test/java/dunlincroft/sim/RepeatedMessagesTest.java
@@ -44,6 +44,7 @@
   void copiesOfOneKindBreakNothing(Kind kind, long seed) throws MalformedException {
     SimCluster cluster =
         busyCluster(seed, Policy.parse(seed % 2 == 0 ? "holder_machines = 12;" : ""));
+    FenceOrderCheck fences = new FenceOrderCheck(cluster);
     cluster.clock.after(
         COPIES_FROM_MS,
         () -> cluster.repeatMessages(EnumSet.of(kind), 0.3, MAX_DELAY_MS, COPIES_FOR_MS));
@@ -56,6 +57,8 @@
     cluster.clock.runUntil(COPIES_FROM_MS + COPIES_FOR_MS + MAX_DELAY_MS);
     runUntilDoneAndVerify(cluster);
     assertThat(cluster.net.repeatedMessages.delivered(kind)).as("copies").isPositive();
+    assertThat(fences.acceptedStarts).isGreaterThan(100);
+    assertThat(fences.violations).isEmpty();
   }
 
   static LongStream days() {
--- a/src/test/java/dunlincroft/sim/SimCluster.java
+++ b/src/test/java/dunlincroft/sim/SimCluster.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -127,6 +128,9 @@
   final DelayedHeartbeats delayedHeartbeats;
   final long leaseMs;
 
+  /** Called with each message whose orders a worker carries out. */
+  BiConsumer<SimWorker, JsonNode> onOrdersAccepted = (worker, message) -> {};
+
   /** All orders that workers carried out. */
   final OrderLog orderLog = new OrderLog();
 
--- a/src/test/java/dunlincroft/sim/SimState.java
+++ b/src/test/java/dunlincroft/sim/SimState.java
@@ -92,6 +92,10 @@
         });
   }
 
+  long revision() {
+    return currentRevision;
+  }
+
   /** The data of all keys with a prefix, by the rest of the key. */
   Map<String, JsonNode> dataUnder(String prefix) {
     Map<String, JsonNode> found = new TreeMap<>();
--- a/src/test/java/dunlincroft/sim/SimWorker.java
+++ b/src/test/java/dunlincroft/sim/SimWorker.java
@@ -385,6 +385,7 @@
   }
 
   private void execute(JsonNode body, boolean direct) {
+    cluster.onOrdersAccepted.accept(this, body);
     String sender = body.path(SENDER).asText();
     long sentAtMs = body.path(SENT_AT).asLong();
     for (JsonNode order : body.path("orders")) {
@@ -445,6 +446,11 @@
     cluster.clock.after(200 + cluster.random.nextInt(1500), () -> beginRunning(task));
   }
 
+  /** Whether it knows this attempt, ended or not. */
+  boolean holds(String taskName, long attempt) {
+    return tasks.containsKey(key(taskName, attempt));
+  }
+
   boolean hasActive(Task task) {
     return !terminated && tasks.get(key(task.name, task.attempt)) == task && task.isActive();
   }
