Ignore late heartbeats of all ended instances of a controller, not only of the last

What callers saw: nothing yet; found while looking for messages whose second carrying-out is not harmless. Cause: LowWatermark knew one former instance of each controller. After two restarts a late heartbeat of the first instance counted as a new process; the present one became the former, and all of its heartbeats were dropped as late from then on. The watermark of cancellations stood still, so in an outage of the state service the owner would have stopped renewing workers' leases after cancel_s less lease_s, and well tasks would have ended. Change: the ended instances of a controller are kept, 256 at the most.

--- a/src/main/java/dunlincroft/membership/LowWatermark.java
+++ b/src/main/java/dunlincroft/membership/LowWatermark.java
@@ -7,8 +7,10 @@
 import dunlincroft.transport.PeerHeartbeat.HeartbeatEcho;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -38,11 +40,15 @@
 final class LowWatermark {
   private static final long NEVER = Long.MIN_VALUE;
 
+  /** Former instances remembered of each controller; its messages may be minutes late. */
+  private static final int MAX_FORMER_INSTANCES = 256;
+
   /** State of another controller. */
   private static final class Peer {
     private long instanceId;
 
-    private long formerInstanceId;
+    /** Instances that a later one has replaced, the oldest first: their messages are late. */
+    private final Set<Long> formerInstances = new LinkedHashSet<>();
 
     /**
      * When the first heartbeat of this instance came, and whether all acknowledgements of former
@@ -68,6 +74,14 @@
     /** When the newest heartbeat of this node that it has received was sent. */
     private long echoedAt = NEVER;
 
+    private void replaceInstance(long newInstanceId) {
+      formerInstances.add(instanceId);
+      if (formerInstances.size() > MAX_FORMER_INSTANCES) {
+        formerInstances.remove(formerInstances.iterator().next());
+      }
+      instanceId = newInstanceId;
+    }
+
     private long suspendedUntil() {
       return suspendedAt == NEVER ? NEVER : suspendedAt + Constants.ACK_SUSPENSION_MS;
     }
@@ -172,7 +186,9 @@
       PeerHeartbeat heartbeat, long nowMs, long revision, long readAt) {
     Peer peer = peers.get(heartbeat.node());
     CancellationReport report = heartbeat.cancellations();
-    if (peer == null || report.instanceId() == 0 || report.instanceId() == peer.formerInstanceId) {
+    if (peer == null
+        || report.instanceId() == 0
+        || peer.formerInstances.contains(report.instanceId())) {
       return List.of(); // Late message of a process that has ended.
     }
     if (peer.instanceId != report.instanceId()) {
@@ -183,8 +199,7 @@
         peer.closedAt = Math.max(peer.closedAt, nowMs);
       }
       peer.suspendedAt = NEVER;
-      peer.formerInstanceId = peer.instanceId;
-      peer.instanceId = report.instanceId();
+      peer.replaceInstance(report.instanceId());
       peer.firstHeardAt = nowMs;
       peer.sentAt = 0;
     }
--- a/src/test/java/dunlincroft/membership/LowWatermarkTest.java
+++ b/src/test/java/dunlincroft/membership/LowWatermarkTest.java
@@ -3,6 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dunlincroft.membership.CancellationHistories.PlantedFault;
+import dunlincroft.transport.PeerHeartbeat;
+import dunlincroft.transport.PeerHeartbeat.CancellationReport;
+import dunlincroft.transport.PeerHeartbeat.HeartbeatEcho;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -11,6 +15,8 @@
 /** Checks the low watermark of cancellations against random histories with all kinds of faults. */
 class LowWatermarkTest {
   private static final int SEEDS = 150;
+  private static final long SELF_INSTANCE = 77;
+  private static final long REVISION = 5;
 
   /**
    * No node's watermark passes a cancellation that was acknowledged to a user and that the node
@@ -87,4 +93,37 @@
       assertThat(history.violations).isEmpty();
     }
   }
+
+  private static PeerHeartbeat heartbeat(long instanceId, long sentAt, long echoedAt) {
+    List<HeartbeatEcho> echoes = List.of(new HeartbeatEcho("n0", SELF_INSTANCE, echoedAt));
+    return new PeerHeartbeat(
+        "n1",
+        0,
+        0,
+        0,
+        0,
+        0,
+        List.of(),
+        PeerHeartbeat.Load.NONE,
+        new CancellationReport(instanceId, sentAt, echoes, REVISION, 0, 0, List.of()));
+  }
+
+  /** A heartbeat of a process that has ended, however many have followed it, changes nothing. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 10})
+  void lateHeartbeatsOfEndedInstancesDoNotStopTheWatermark(int restarts) {
+    LowWatermark watermark = new LowWatermark("n0", SELF_INSTANCE, 0, List.of("n0", "n1"));
+    long readAt = 100_000;
+    for (int instance = 1; instance <= restarts + 1; instance++) {
+      long heardAt = 1000L * instance;
+      watermark.heartbeatReceived(heartbeat(instance, heardAt, heardAt), heardAt, REVISION, 0);
+    }
+    for (int instance = 1; instance <= restarts; instance++) {
+      watermark.heartbeatReceived(
+          heartbeat(instance, 1000L * instance, 1000L * instance), readAt, REVISION, readAt);
+    }
+    watermark.heartbeatReceived(
+        heartbeat(restarts + 1, 130_000, 129_900), 130_000, REVISION, readAt);
+    assertThat(watermark.value(readAt, 130_000)).isEqualTo(129_900);
+  }
 }
