--- a/src/main/java/dunlincroft/coordination/Controller.java
+++ b/src/main/java/dunlincroft/coordination/Controller.java
@@ -432,7 +432,8 @@
    * Answers a worker's heartbeat: with orders if this node owns the machine's shard, otherwise with
    * the name of the owner.
    */
-  public void onWorkerHeartbeat(WorkerReport report, Responder out) {
+  public void onWorkerHeartbeat(WorkerReport report, int bodyBytes, Responder out) {
+    metrics.recordReport(report.tasks().size(), bodyBytes);
     heartbeats.answer(report, out);
   }
 }
--- a/src/main/java/dunlincroft/coordination/Metrics.java
+++ b/src/main/java/dunlincroft/coordination/Metrics.java
@@ -1,5 +1,6 @@
 package dunlincroft.coordination;
 
+import dunlincroft.Constants;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,6 +15,7 @@
 final class Metrics {
   private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
   private static final long MAX_RECORDED_WAIT_MS = 3_600_000;
+  private static final long MAX_RECORDED_TASKS = 10_000;
 
   /** Log lines about single occurrences of one event between two summaries. */
   static final int MAX_LINES_PER_EVENT = 20;
@@ -86,6 +88,8 @@
   private final Map<RequestType, Map<UnavailableCause, Integer>> unavailableCounts =
       new EnumMap<>(RequestType.class);
   private final Map<String, Histogram> waitsByClass = new TreeMap<>();
+  private final Histogram tasksByReport = new Histogram(MAX_RECORDED_TASKS, 2);
+  private final Histogram bytesByReport = new Histogram(Constants.MAX_BODY_BYTES, 2);
   private final Map<Event, Integer> eventCounts = new EnumMap<>(Event.class);
   private final java.util.function.LongSupplier wallClock;
 
@@ -123,6 +127,12 @@
     return unavailableCounts.getOrDefault(type, Map.of()).getOrDefault(cause, 0);
   }
 
+  /** Records the size of a worker's heartbeat. */
+  void recordReport(int tasks, int bytes) {
+    tasksByReport.recordValue(Math.min(tasks, MAX_RECORDED_TASKS));
+    bytesByReport.recordValue(Math.min(bytes, Constants.MAX_BODY_BYTES));
+  }
+
   /** Records that a task runs. Its waiting time is counted from the acceptance of its job. */
   void recordStart(Placement placement, long nowMs) {
     long waitMs = Math.max(0, wallClock.getAsLong() - placement.job.acceptedAt);
@@ -150,8 +160,17 @@
                 histogram.getValueAtPercentile(90),
                 histogram.getValueAtPercentile(99),
                 histogram.getMaxValue()));
+    LOG.info(
+        "worker reports: {}, tasks p50={} max={}, bytes p50={} max={}",
+        bytesByReport.getTotalCount(),
+        tasksByReport.getValueAtPercentile(50),
+        tasksByReport.getMaxValue(),
+        bytesByReport.getValueAtPercentile(50),
+        bytesByReport.getMaxValue());
     LOG.info("{} events={} unavailable={}", prefix, eventCounts, unavailableCounts);
     waitsByClass.clear();
+    tasksByReport.reset();
+    bytesByReport.reset();
     unavailableCounts.clear();
     eventCounts.clear();
   }
--- a/src/main/java/dunlincroft/front/HttpApi.java
+++ b/src/main/java/dunlincroft/front/HttpApi.java
@@ -82,7 +82,7 @@
 
   private void handleWorkerHeartbeat(byte[] body, Responder responder) {
     try {
-      controller.onWorkerHeartbeat(WorkerReport.parse(parseBody(body)), responder);
+      controller.onWorkerHeartbeat(WorkerReport.parse(parseBody(body)), body.length, responder);
     } catch (MalformedException e) {
       LOG.info("malformed worker heartbeat: {}", e.getMessage());
       sendError(responder, 400, e.getMessage());
