--- a/src/main/java/dunlincroft/coordination/HeartbeatHandler.java
+++ b/src/main/java/dunlincroft/coordination/HeartbeatHandler.java
@@ -49,23 +49,40 @@
           fence);
       return null;
     }
+    if (isDoubtful(machine, report)) {
+      return WorkerOrder.body(fence, List.of());
+    }
+    process(machine, report);
+    return orders(machine);
+  }
+
+  /** Whether a report may be a delayed duplicate; its worker is then queried where that helps. */
+  private boolean isDoubtful(Machine machine, WorkerReport report) {
     if (!machine.session.isNewer(report)) {
       // Either a delayed duplicate, or a worker that has restarted under its old host name. Both
       // look the same; only the reply to a status query tells them apart.
       if (report.fence() < machine.session.fenceSeen()) {
-        machine.endpoint = report.endpoint();
-        probe.probe(machine);
+        query(machine, report);
       }
-      return WorkerOrder.body(fence, List.of());
+      return true;
     }
     if (report.fence() < machine.session.firstFence()) {
       // The report was sent before this controller acquired the machine, and may be a delayed
       // duplicate: if it were accepted, a machine that is long gone would appear to be alive. The
       // worker is queried instead, and its next report carries our fence.
-      machine.endpoint = report.endpoint();
-      probe.probe(machine);
-      return WorkerOrder.body(fence, List.of());
+      query(machine, report);
+      return true;
     }
+    return false;
+  }
+
+  private void query(Machine machine, WorkerReport report) {
+    machine.endpoint = report.endpoint();
+    probe.probe(machine);
+  }
+
+  /** Takes in a new report, and draws from it whether the worker receives our answers. */
+  private void process(Machine machine, WorkerReport report) {
     boolean missedAnswer =
         machine.session.hasMissedOurAnswer(
             report, cluster.now(), cluster.settings.workerLeaseS() * 1000);
@@ -82,9 +99,14 @@
       machine.session.discountReport(previouslyHeardMs);
       probe.suspectMissedAnswer(machine);
     }
-    if (mustVoidCopiedStarts(machine) && fenceRaiser.raiseToReadRevision(machine)) {
-      fence = cluster.fenceToken(machine);
+  }
+
+  /** The answer to the report that was just processed. */
+  private ObjectNode orders(Machine machine) {
+    if (mustVoidCopiedStarts(machine)) {
+      fenceRaiser.raiseToReadRevision(machine);
     }
+    long fence = cluster.fenceToken(machine);
     List<WorkerOrder> orders = workerOrders.forMachine(machine, fence, false);
     int starts = (int) orders.stream().filter(WorkerOrder::isRun).count();
     int discards = (int) orders.stream().filter(WorkerOrder::isDiscard).count();
--- a/src/main/java/dunlincroft/coordination/WorkerOrders.java
+++ b/src/main/java/dunlincroft/coordination/WorkerOrders.java
@@ -33,73 +33,104 @@
     this.startsDueListener = listener;
   }
 
+  /** The orders being collected for one message, and whether a proof is still missing for more. */
+  private static final class Draft {
+    final Machine machine;
+    final long fence;
+    final boolean isDirect;
+    final boolean isAbsenceProven;
+    final List<WorkerOrder> orders = new ArrayList<>();
+
+    /** An ended or stopped attempt waits for the proof that no command in flight starts it. */
+    boolean needsProof;
+
+    Draft(Machine machine, long fence, boolean isDirect) {
+      this.machine = machine;
+      this.fence = fence;
+      this.isDirect = isDirect;
+      this.isAbsenceProven = machine.session.isAbsenceProven();
+    }
+  }
+
   /**
    * The orders for a worker, by its last report and the records. Starts under a condition are sent
    * only in answers to reports: these are never executed late, as direct commands may be.
    */
   List<WorkerOrder> forMachine(Machine machine, long fence, boolean isDirect) {
-    List<WorkerOrder> orders = new ArrayList<>();
-    boolean absenceProven = machine.session.isAbsenceProven();
-    boolean needsProof = false;
+    Draft draft = new Draft(machine, fence, isDirect);
     for (TaskReport reported : machine.reportedTasks) {
       Placement placement = machine.placements.get(reported.id());
       if (placement != null && placement.attempt == reported.attempt()) {
-        needsProof |= reported.hasExited();
-        if (placement.stopRequested && !reported.hasExited()) {
-          boolean isSaving = reported.status().equals(Wire.SAVING);
-          if (!isSaving || placement.job.stopMode() == JobRun.StopMode.ABANDON) {
-            orders.add(
-                WorkerOrder.kill(
-                    reported.id(), reported.attempt(), isSaving ? 0 : placement.stopGraceS()));
-          }
-        }
-        continue;
-      }
-      if (!cluster.feed.synced() || hasUnsettledRecord(reported)) {
-        continue;
-      }
-      if (!reported.hasExited()) {
-        logOrphan(machine, reported);
-        orders.add(WorkerOrder.kill(reported.id(), reported.attempt(), 0));
-      } else if (machine.session.canDiscard(reported.id())) {
-        // Once the worker has discarded the ended task, an order to run the same attempt would
-        // start it again; hence the proof that no such order, nor a copy of one, is still valid.
-        orders.add(WorkerOrder.discard(reported.id(), reported.attempt()));
-      } else {
-        needsProof = true;
+        addStop(draft, placement, reported);
+      } else if (cluster.feed.synced() && !hasUnsettledRecord(reported)) {
+        addForUnplaced(draft, reported);
       }
     }
     for (Placement placement : machine.placements.values()) {
       if (placement.recorded && !placement.inLastReport) {
-        if (!placement.stopRequested) {
-          if (cluster.feed.stalenessMs() > Constants.MAX_STALENESS_MS) {
-            continue; // Without the state service nothing is started; what runs continues.
-          }
-          if (fence > cluster.replica.revision()) {
-            // No start is sent under a fence above a cancellation that has not been read.
-            deferStarts(machine);
-            continue;
-          }
-          if (placement.job.noLateStart
-              && (isDirect || cluster.conditions.cutOffAction(placement.job.spec) != null)) {
-            continue;
-          }
-          placement.orderSent = true;
-          orders.add(WorkerOrder.run(placement.taskName(), placement.attempt));
-        } else {
-          needsProof |= !absenceProven;
-        }
+        addStart(draft, placement);
       }
     }
     if (machine.session.firstFence() > fence
-        || (needsProof && machine.session.isUnresolved(fence))) {
+        || (draft.needsProof && machine.session.isUnresolved(fence))) {
       fences.raise(machine);
     }
+    List<WorkerOrder> orders = draft.orders;
     return orders.size() > Constants.MAX_ORDERS_PER_MESSAGE
         ? orders.subList(0, Constants.MAX_ORDERS_PER_MESSAGE)
         : orders;
   }
 
+  /** Stops a reported task whose placement is to be stopped. */
+  private static void addStop(Draft draft, Placement placement, TaskReport reported) {
+    draft.needsProof |= reported.hasExited();
+    if (!placement.stopRequested || reported.hasExited()) {
+      return;
+    }
+    boolean isSaving = reported.status().equals(Wire.SAVING);
+    if (!isSaving || placement.job.stopMode() == JobRun.StopMode.ABANDON) {
+      draft.orders.add(
+          WorkerOrder.kill(
+              reported.id(), reported.attempt(), isSaving ? 0 : placement.stopGraceS()));
+    }
+  }
+
+  /** Stops a reported attempt that no record names, or discards it once it has ended. */
+  private void addForUnplaced(Draft draft, TaskReport reported) {
+    if (!reported.hasExited()) {
+      logOrphan(draft.machine, reported);
+      draft.orders.add(WorkerOrder.kill(reported.id(), reported.attempt(), 0));
+    } else if (draft.machine.session.canDiscard(reported.id())) {
+      // Once the worker has discarded the ended task, an order to run the same attempt would
+      // start it again; hence the proof that no such order, nor a copy of one, is still valid.
+      draft.orders.add(WorkerOrder.discard(reported.id(), reported.attempt()));
+    } else {
+      draft.needsProof = true;
+    }
+  }
+
+  /** Starts a recorded placement that the worker has not reported yet. */
+  private void addStart(Draft draft, Placement placement) {
+    if (placement.stopRequested) {
+      draft.needsProof |= !draft.isAbsenceProven;
+      return;
+    }
+    if (cluster.feed.stalenessMs() > Constants.MAX_STALENESS_MS) {
+      return; // Without the state service nothing is started; what runs continues.
+    }
+    if (draft.fence > cluster.replica.revision()) {
+      // No start is sent under a fence above a cancellation that has not been read.
+      deferStarts(draft.machine);
+      return;
+    }
+    if (placement.job.noLateStart
+        && (draft.isDirect || cluster.conditions.cutOffAction(placement.job.spec) != null)) {
+      return;
+    }
+    placement.orderSent = true;
+    draft.orders.add(WorkerOrder.run(placement.taskName(), placement.attempt));
+  }
+
   /**
    * Sends the starts a little later: the fence comes from a write of this controller that the
    * change feed has not delivered yet.
