--- a/src/test/java/dunlincroft/sim/SimWorker.java
+++ b/src/test/java/dunlincroft/sim/SimWorker.java
@@ -370,10 +370,6 @@
     return capacity.minus(usedCapacity());
   }
 
-  boolean hasService() {
-    return tasks.values().stream().anyMatch(task -> task.isActive() && task.spec.isService());
-  }
-
   private Resources usedCapacity() {
     Resources sum = Resources.NONE;
     for (Task task : tasks.values()) {
--- a/src/test/java/dunlincroft/sim/StarvationCheck.java
+++ b/src/test/java/dunlincroft/sim/StarvationCheck.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dunlincroft.protocol.JobSpec;
-import dunlincroft.protocol.JobSpec.Rank;
 import dunlincroft.protocol.MachineType;
 import dunlincroft.protocol.Resources;
 import java.util.HashMap;
@@ -43,8 +42,8 @@
           2,
           SimCluster.ZONES);
 
-  /** An available machine, its free capacity, and whether it runs services. */
-  private record Machine(SimWorker worker, Resources free, boolean hasServices) {}
+  /** An available machine and its free capacity. */
+  private record Machine(SimWorker worker, Resources free) {}
 
   StarvationCheck(SimCluster cluster, InvariantChecks checks) {
     this.cluster = cluster;
@@ -160,7 +159,7 @@
     return readySince.entrySet().stream()
         .filter(entry -> now - entry.getValue() >= SETTLE_MS)
         .map(Map.Entry::getKey)
-        .map(worker -> new Machine(worker, worker.freeCapacity(), worker.hasService()))
+        .map(worker -> new Machine(worker, worker.freeCapacity()))
         .toList();
   }
 
@@ -200,16 +199,12 @@
         && perZone.getOrDefault(zone, 0) < spec.maxTasksPerZone()
         && spec.allows(SimCluster.MACHINE_TYPE, zone, spot)
         && (!spot || cluster.policy.isSpotEnabled(spec))
-        && spec.resources().fitsInto(machine.free.minus(reservedCapacity(spec, machine)));
+        && spec.resources().fitsInto(machine.free.minus(reservedCapacity(machine)));
   }
 
-  /** The capacity of a machine that the operators' policy keeps free. */
-  private Resources reservedCapacity(JobSpec spec, Machine machine) {
-    String zone = machine.worker.zone;
-    double reservedFraction = 1 - cluster.policy.loadBound(machineType, zone, machine.worker.spot);
-    if (spec.rank() != Rank.PROD && machine.hasServices) {
-      reservedFraction += cluster.policy.serviceReserve(machineType, zone, machine.worker.spot);
-    }
-    return new Resources((long) (machineType.resources().cpu() * reservedFraction), 0, 0);
+  /** The capacity of a machine above the operators' load bound. */
+  private Resources reservedCapacity(Machine machine) {
+    double bound = cluster.policy.loadBound(machineType, machine.worker.zone, machine.worker.spot);
+    return new Resources((long) (machineType.resources().cpu() * (1 - bound)), 0, 0);
   }
 }
