A refused release leaves no mark on its machine

What callers saw: left_waiting. Cause: the release set the drain reason "released", which outlived the refusal. A lasting mark for a passing state. Change: why a machine is drained is an enum with its transitions (DrainReason); a release under way is the lifecycle's affair alone. A reclaim notice that is no longer reported ends its drain; one that comes while a machine is surplus, and a listing as stopped, replace the lesser reason.

--- a/src/main/java/dunlincroft/coordination/Consolidation.java
+++ b/src/main/java/dunlincroft/coordination/Consolidation.java
@@ -21,9 +21,6 @@
 final class Consolidation {
   private static final Logger LOG = LoggerFactory.getLogger(Consolidation.class);
 
-  /** Drain reason of a machine that exceeds the demand. */
-  static final String SURPLUS = "surplus";
-
   private final ClusterState cluster;
   private final DirectCommands commands;
   private final Demand demand;
@@ -61,9 +58,9 @@
         ownedCount += machine.blockStamp > 0 ? 1 : 0;
         if (neededHosts.contains(machine.host)) {
           keepForReplica(machine);
-        } else if (SURPLUS.equals(machine.drainReason)) {
+        } else if (machine.drainReason == DrainReason.SURPLUS) {
           draining.add(machine);
-        } else if (machine.drainReason == null
+        } else if (!machine.drainReason.isDraining()
             && machine.targetShard == null
             && machine.session.hasReported()
             && !machine.hasService()) {
@@ -92,7 +89,7 @@
             .limit(-excess)
             .forEach(
                 machine -> {
-                  machine.drainReason = null;
+                  machine.drainReason = machine.drainReason.onNeeded();
                   cluster.placementDue = true;
                 });
         continue;
@@ -107,7 +104,7 @@
         excess--;
         onDemandToDrain -= machine.preemptible ? 0 : 1;
         LOG.info("host {} is not needed: draining", machine.host);
-        machine.drainReason = SURPLUS;
+        machine.drainReason = machine.drainReason.onSurplus();
       }
       boolean noSpareOnDemand = spare.stream().allMatch(machine -> machine.preemptible);
       if (noSpareOnDemand && excess >= 1 && onDemandExcess >= Constants.MIN_CONSOLIDATION_EXCESS) {
@@ -115,7 +112,7 @@
       }
     }
     cluster.machines.values().stream()
-        .filter(m -> SURPLUS.equals(m.drainReason))
+        .filter(m -> m.drainReason == DrainReason.SURPLUS)
         .forEach(this::evictLastTasks);
   }
 
@@ -124,8 +121,9 @@
    * the total counts say.
    */
   private void keepForReplica(Machine machine) {
-    if (SURPLUS.equals(machine.drainReason) && machine.lifecycle == MachineLifecycle.IN_USE) {
-      machine.drainReason = null;
+    if (machine.drainReason == DrainReason.SURPLUS
+        && machine.lifecycle == MachineLifecycle.IN_USE) {
+      machine.drainReason = machine.drainReason.onNeeded();
       cluster.placementDue = true;
     }
   }
@@ -195,7 +193,7 @@
                   machine.host,
                   machine.placements.size());
               nextConsolidationMs = cluster.now() + Constants.CONSOLIDATION_INTERVAL_MS;
-              machine.drainReason = SURPLUS;
+              machine.drainReason = machine.drainReason.onSurplus();
               evictAll(machine);
             });
   }
--- a/src/main/java/dunlincroft/coordination/FaultAttribution.java
+++ b/src/main/java/dunlincroft/coordination/FaultAttribution.java
@@ -51,14 +51,14 @@
     boolean isMachineFaulty =
         machine.consecutiveFailures >= Constants.FAULTY_MACHINE_FAILURES
             || machine.failedJobs.size() >= Constants.FAULTY_MACHINE_FAILURES;
-    if (isMachineFaulty && machine.drainReason == null && canDrainFaulty()) {
+    if (isMachineFaulty && !machine.drainReason.isDraining() && canDrainFaulty()) {
       LOG.info(
           "host {} failed {} tasks of jobs that ran elsewhere, and {} jobs in all, consecutively:"
               + " taken for sick, draining",
           machine.host,
           machine.consecutiveFailures,
           machine.failedJobs.size());
-      machine.drainReason = "sick";
+      machine.drainReason = machine.drainReason.onSickness();
       machine.placements.values().forEach(other -> other.job.markForStop(other));
     }
   }
@@ -69,7 +69,7 @@
    */
   private boolean canDrainFaulty() {
     long faultyMachines =
-        cluster.machines.values().stream().filter(m -> "sick".equals(m.drainReason)).count();
+        cluster.machines.values().stream().filter(m -> m.drainReason == DrainReason.SICK).count();
     return faultyMachines < Math.max(1, cluster.machines.size() / 8);
   }
 }
--- a/src/main/java/dunlincroft/coordination/Machine.java
+++ b/src/main/java/dunlincroft/coordination/Machine.java
@@ -116,8 +116,8 @@
    */
   boolean hasDeferredStarts;
 
-  /** Why no new tasks are placed here, or null. */
-  String drainReason;
+  /** Why no new tasks are placed here. */
+  DrainReason drainReason = DrainReason.NONE;
 
   /** The shard that gets the machine once it is empty, or null. */
   String targetShard;
@@ -257,7 +257,7 @@
         && lifecycle == MachineLifecycle.IN_USE
         && type != null
         && blockStamp > 0
-        && drainReason == null
+        && !drainReason.isDraining()
         && reportedTasks.size() < MAX_REPORTED_TASKS
         && targetShard == null
         && !isMoving
--- a/src/main/java/dunlincroft/coordination/MachineHandover.java
+++ b/src/main/java/dunlincroft/coordination/MachineHandover.java
@@ -230,7 +230,7 @@
     return machine.placements.isEmpty()
         && machine.reportedTasks.isEmpty()
         && machine.recordedJobs.isEmpty()
-        && machine.drainReason == null
+        && !machine.drainReason.isDraining()
         && machine.lifecycle == MachineLifecycle.IN_USE
         && !machine.isRaisingFence
         && machine.session.hasReported()
--- a/src/main/java/dunlincroft/coordination/MachineList.java
+++ b/src/main/java/dunlincroft/coordination/MachineList.java
@@ -156,9 +156,9 @@
     }
     if (owned != null
         && listing.status().equals(MachineListing.FAILED)
-        && owned.drainReason == null) {
+        && owned.drainReason != DrainReason.STOPPED) {
       LOG.info("host {} is listed as failed by the cloud", listing.host());
-      owned.drainReason = "failed";
+      owned.drainReason = owned.drainReason.onStopped();
     }
   }
 }
--- a/src/main/java/dunlincroft/coordination/MachineProvisioner.java
+++ b/src/main/java/dunlincroft/coordination/MachineProvisioner.java
@@ -122,7 +122,7 @@
 
   /** Whether a machine serves or will soon. One that is overdue at boot may never come up. */
   private boolean isExpectedToServe(Machine machine) {
-    if (machine.drainReason != null && !machine.drainReason.equals(Consolidation.SURPLUS)) {
+    if (machine.drainReason.isDraining() && machine.drainReason != DrainReason.SURPLUS) {
       return false;
     }
     if (machine.session.hasReported()) {
--- a/src/main/java/dunlincroft/coordination/MachineReleaser.java
+++ b/src/main/java/dunlincroft/coordination/MachineReleaser.java
@@ -86,14 +86,14 @@
     if (machine.blockStamp == 0) {
       return "not named by any block record";
     }
-    if ("failed".equals(machine.drainReason)) {
-      return "failed";
+    if (machine.drainReason == DrainReason.STOPPED) {
+      return machine.drainReason.toString();
     }
-    if (machine.drainReason != null && machine.hasNoTasks() && machine.session.hasReported()) {
-      return machine.drainReason.equals(Consolidation.SURPLUS)
+    if (machine.drainReason.isDraining() && machine.hasNoTasks() && machine.session.hasReported()) {
+      return machine.drainReason == DrainReason.SURPLUS
               && !consolidation.isPastMinimumBilling(machine)
           ? null
-          : machine.drainReason;
+          : machine.drainReason.toString();
     }
     if (silenceMs > suspectAfterMs) {
       if (machine.session.onSilence()) {
@@ -126,7 +126,6 @@
     ObjectNode body = Cbor.map();
     for (Machine machine : machines) {
       machine.lifecycle = machine.lifecycle.onReleaseAsked();
-      machine.drainReason = machine.drainReason == null ? "released" : machine.drainReason;
       body.withArray("hosts").add(machine.host);
       discovery.markReleased(machine.host);
     }
--- a/src/main/java/dunlincroft/coordination/ReportHandler.java
+++ b/src/main/java/dunlincroft/coordination/ReportHandler.java
@@ -65,7 +65,10 @@
     onReachable(machine);
     machine.session.onReport(report, cluster.now());
     machine.endpoint = report.endpoint();
-    if (report.reclaimNoticeS() != WorkerReport.NO_RECLAIM_NOTICE && machine.drainReason == null) {
+    DrainReason reasonBefore = machine.drainReason;
+    if (report.reclaimNoticeS() == WorkerReport.NO_RECLAIM_NOTICE) {
+      machine.drainReason = reasonBefore.onNoReclaimNotice();
+    } else if (reasonBefore.onReclaimNotice() != reasonBefore) {
       onReclaimNotice(machine, report.reclaimNoticeS());
     }
     machine.reportedTasks = report.tasks();
@@ -104,7 +107,7 @@
   /** Drains a machine after the cloud provider announced that it will reclaim it. */
   private void onReclaimNotice(Machine machine, double warningS) {
     LOG.info("host {} will be reclaimed in {} s: draining", machine.host, warningS);
-    machine.drainReason = "notice";
+    machine.drainReason = machine.drainReason.onReclaimNotice();
     cluster.placementDue = true;
     for (Placement placement : machine.placements.values()) {
       double remainingS =
