A job's distrust of a machine ends, and gives way where it has no other

What callers saw: left_waiting. Cause: failedJobs kept the machine from the job until some task succeeded there. A lasting mark for a passing fault. Change: a job avoids a machine for 30 s after it last failed there, and not at all when no other machine of its shard could run it, however full. The counts by which a machine is taken for sick are unchanged.

--- a/src/main/java/dunlincroft/coordination/FaultAttribution.java
+++ b/src/main/java/dunlincroft/coordination/FaultAttribution.java
@@ -39,7 +39,7 @@
     if (job.faulty) {
       machine.failedJobs.remove(job.id);
     } else {
-      machine.failedJobs.add(job.id);
+      machine.failedJobs.put(job.id, cluster.now());
     }
     if (job.faulty && !wasFaulty) {
       LOG.info(
--- a/src/main/java/dunlincroft/coordination/JobRun.java
+++ b/src/main/java/dunlincroft/coordination/JobRun.java
@@ -132,6 +132,11 @@
   /** Some machine is excluded for the job because a task of it failed there. */
   boolean everFailed;
 
+  /** Whether a machine on which no task of it failed could run it, and the round that asked. */
+  boolean hasTrustedMachine;
+
+  long trustCheckedAtMs = -1;
+
   /**
    * Machines on which its tasks failed; empty once a task of it has run, as the fault is then not
    * the job's.
--- a/src/main/java/dunlincroft/coordination/Machine.java
+++ b/src/main/java/dunlincroft/coordination/Machine.java
@@ -6,6 +6,7 @@
 import dunlincroft.protocol.WorkerReport;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,9 @@
    */
   private static final int MAX_REPORTED_TASKS = 280;
 
+  /** How long a job avoids a machine on which one of its tasks failed, in milliseconds. */
+  private static final long DISTRUST_MS = 30_000;
+
   final String host;
   final String shard;
   final String typeLabel;
@@ -134,8 +138,8 @@
   /** Consecutive failures of tasks whose jobs have run elsewhere. */
   int consecutiveFailures;
 
-  /** All jobs of which a task failed here since the last success. */
-  final Set<String> failedJobs = new HashSet<>();
+  /** All jobs of which a task failed here since the last success, and when each last failed. */
+  final Map<String, Long> failedJobs = new HashMap<>();
 
   /** Since when the machine has had no tasks; -1 if it has some. */
   long idleSinceMs = -1;
@@ -251,6 +255,12 @@
     return new BlockClass(typeLabel, zone, preemptible);
   }
 
+  /** Whether a task of the job has failed here so recently that it should run elsewhere. */
+  boolean isDistrustedBy(JobRun job, long nowMs) {
+    Long failedAtMs = failedJobs.get(job.id);
+    return failedAtMs != null && nowMs - failedAtMs < DISTRUST_MS;
+  }
+
   /** Whether new tasks may be placed here. */
   boolean isUsable(long nowMs, long suspectAfterMs) {
     return session.isReachable()
--- a/src/main/java/dunlincroft/coordination/Scheduler.java
+++ b/src/main/java/dunlincroft/coordination/Scheduler.java
@@ -274,12 +274,34 @@
         : null;
   }
 
-  private boolean isSuitable(JobRun job, Machine machine) {
+  private boolean isAllowed(JobRun job, Machine machine) {
     return cluster.isUsable(machine, roundStartMs)
         && machine.shard.equals(job.shard)
         && cluster.allows(job, machine)
-        && job.matchesSideFilter(machine)
-        && !machine.failedJobs.contains(job.id);
+        && job.matchesSideFilter(machine);
+  }
+
+  private boolean isSuitable(JobRun job, Machine machine) {
+    return isAllowed(job, machine)
+        && (!machine.isDistrustedBy(job, roundStartMs) || !hasTrustedMachine(job));
+  }
+
+  /**
+   * Whether some other machine could run the job's tasks, however full it is now. A job without any
+   * goes back to the machines on which it has failed, with growing pauses.
+   */
+  private boolean hasTrustedMachine(JobRun job) {
+    if (job.trustCheckedAtMs != roundStartMs) {
+      job.trustCheckedAtMs = roundStartMs;
+      job.hasTrustedMachine =
+          cluster.machines.values().stream()
+              .anyMatch(
+                  machine ->
+                      isAllowed(job, machine)
+                          && job.spec.resources().fitsInto(machine.type.resources())
+                          && !machine.isDistrustedBy(job, roundStartMs));
+    }
+    return job.hasTrustedMachine;
   }
 
   private Resources freeCapacity(JobRun job, Machine machine) {
