Work that can go nowhere else uses the reserve for services

What callers saw: left_waiting. Change: work of which nothing could be placed for 60 s, longer than a machine takes to be rented and to boot, may use the reserve. Services preempt it as any lesser work.

--- a/src/main/java/dunlincroft/coordination/ClusterState.java
+++ b/src/main/java/dunlincroft/coordination/ClusterState.java
@@ -397,11 +397,11 @@
 
   /**
    * Thousandths of a machine's processors that work must leave free: for the operators' load bound
-   * and, unless the work has rank PROD, for further services on machines that run some. Computed
-   * once per machine, because the operators' rules depend only on its type, its zone and whether it
-   * is a spot machine.
+   * and, unless it may use that, for further services on machines that run some. Computed once per
+   * machine, because the operators' rules depend only on its type, its zone and whether it is a
+   * spot machine.
    */
-  long reservedCpu(Machine machine, boolean prod) {
+  long reservedCpu(Machine machine, boolean usesServiceReserve) {
     if (machine.reservedCpuType != machine.type) {
       machine.reservedCpuType = machine.type;
       double cpu = machine.type.resources().cpu();
@@ -410,7 +410,7 @@
       machine.baseReservedCpu = (long) (cpu * (1 - bound));
       machine.reservedCpuWithServices = (long) (cpu * (1 - bound + reserve));
     }
-    return prod || !machine.hasService()
+    return usesServiceReserve || !machine.hasService()
         ? machine.baseReservedCpu
         : machine.reservedCpuWithServices;
   }
--- a/src/main/java/dunlincroft/coordination/JobRun.java
+++ b/src/main/java/dunlincroft/coordination/JobRun.java
@@ -157,6 +157,9 @@
   /** Since when a task waits for free capacity; -1: none does. */
   long waitingSince = -1;
 
+  /** When a task of it was last placed, in milliseconds; 0: never. */
+  long lastPlacedAtMs;
+
   /** Earliest time of the next search for tasks to preempt, as each search scans all machines. */
   long nextPreemptionAt;
 
@@ -386,6 +389,7 @@
 
   void place(Placement placement) {
     placed.put(placement.task, placement);
+    lastPlacedAtMs = Math.max(lastPlacedAtMs, placement.placedAtMs);
     setCharged(placement.task, true);
     setPlacedOrDone(placement.task, true);
     tasksPerZone.addTo(placement.machine.zone, 1);
--- a/src/main/java/dunlincroft/coordination/Scheduler.java
+++ b/src/main/java/dunlincroft/coordination/Scheduler.java
@@ -41,6 +41,12 @@
   /** An overdue job first starts at most one in this many of its tasks. */
   private static final int OVERDUE_START_DIVISOR = 8;
 
+  /**
+   * How long work must have found no room before it may use what is reserved for services, in
+   * milliseconds: longer than a machine takes to boot, shorter than work may wait beside room.
+   */
+  private static final long SERVICE_RESERVE_AFTER_MS = 60_000;
+
   /** Requests that found no machine in the current round. */
   private final List<PlacementRequest> unplaceable = new ArrayList<>();
 
@@ -309,29 +315,47 @@
   }
 
   private long reservedCpu(JobRun job, Machine machine) {
-    return machine.type == null ? 0 : cluster.reservedCpu(machine, job.spec.rank() == Rank.PROD);
+    return machine.type == null ? 0 : cluster.reservedCpu(machine, mayUseServiceReserve(job));
+  }
+
+  private PlacementRequest placementRequest(JobRun job) {
+    boolean usesReserve = mayUseServiceReserve(job);
+    if (job.placementRequest == null || job.placementRequest.usesReserve != usesReserve) {
+      job.placementRequest = PlacementRequest.of(job, cluster.allowsSpot(job), usesReserve);
+    }
+    return job.placementRequest;
+  }
+
+  /**
+   * Whether a job may use the capacity that is reserved for services: services may, and other work
+   * that has found no room for so long that none can be rented for it. Services preempt it.
+   */
+  private boolean mayUseServiceReserve(JobRun job) {
+    return job.spec.rank() == Rank.PROD
+        || (job.waitingSince >= 0
+            && roundStartMs - Math.max(job.waitingSince, job.lastPlacedAtMs)
+                >= SERVICE_RESERVE_AFTER_MS);
   }
 
   /** Constraints and resources of work that found no machine in this round. */
   record PlacementRequest(
       String shard,
       boolean spot,
-      boolean service,
+      boolean usesReserve,
       List<String> types,
       String zone,
       Resources resources) {
-    static PlacementRequest of(JobRun job, boolean spot) {
+    static PlacementRequest of(JobRun job, boolean spot, boolean usesReserve) {
       JobSpec spec = job.spec;
-      boolean prod = spec.rank() == Rank.PROD;
       return new PlacementRequest(
-          job.shard, spot, prod, spec.machineTypes(), spec.requiredZone(), spec.resources());
+          job.shard, spot, usesReserve, spec.machineTypes(), spec.requiredZone(), spec.resources());
     }
 
     /** Whether no machine for this request implies that there is none for the other one. */
     boolean covers(PlacementRequest other) {
       return shard.equals(other.shard)
           && spot == other.spot
-          && service == other.service
+          && usesReserve == other.usesReserve
           && Objects.equals(types, other.types)
           && Objects.equals(zone, other.zone)
           && resources.fitsInto(other.resources);
@@ -358,10 +382,7 @@
     if (!anyMachineAvailable) {
       return 0;
     }
-    if (job.placementRequest == null) {
-      job.placementRequest = PlacementRequest.of(job, cluster.allowsSpot(job));
-    }
-    PlacementRequest request = job.placementRequest;
+    PlacementRequest request = placementRequest(job);
     for (PlacementRequest other : unplaceable) {
       if (other.covers(request)) {
         return 0;
