List the state service without a set of all names; an Error ends the process

Cause: the listing at a start collected the name of every key, 100 bytes each, to find what had vanished; the full heap's Error was swallowed, and the process lived on without its listing. Change: what vanished is found by walking the replica's keys and the listing side by side, in the order of keys (VanishedKeys); memory is bounded by the replica. Pages have the 1,000 keys that the protocol allows.

--- a/src/main/java/dunlincroft/Constants.java
+++ b/src/main/java/dunlincroft/Constants.java
@@ -37,7 +37,7 @@
   public static final int MACHINE_PAGE_ENTRIES = 500;
 
   /** Page size of the state service's key listing; pages are limited to 512 KiB as well. */
-  public static final int KEY_PAGE_ENTRIES = 500;
+  public static final int KEY_PAGE_ENTRIES = 1000;
 
   /** Largest number of orders in one message to a worker, which keeps the message below 64 KiB. */
   public static final int MAX_ORDERS_PER_MESSAGE = 400;
--- a/src/main/java/dunlincroft/Main.java
+++ b/src/main/java/dunlincroft/Main.java
@@ -110,7 +110,7 @@
   private static void configureLogging() {
     String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
-    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error");
+    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
     System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
@@ -151,6 +151,8 @@
       System.err.println("cannot listen: " + e.getMessage());
       return 1;
     }
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, error) -> log.error("uncaught exception in thread {}", thread.getName(), error));
     env.runLocked(controller::start);
     log.info(
         "node {} in zone {} listens on {}",
--- a/src/main/java/dunlincroft/bookkeeping/ChangeFeed.java
+++ b/src/main/java/dunlincroft/bookkeeping/ChangeFeed.java
@@ -7,9 +7,7 @@
 import dunlincroft.protocol.MalformedException;
 import dunlincroft.transport.Env;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -27,6 +25,10 @@
   private final Replica replica;
   private final Runnable onSynced;
   private boolean synced;
+
+  /** Keys read by the listing that is under way, or by the last one. */
+  private long listedKeys;
+
   private long currentAsOf;
   private List<Consumer<Boolean>> barrierWaiters = new ArrayList<>();
   private boolean barrierInFlight;
@@ -65,7 +67,8 @@
   }
 
   public void start() {
-    readPage(null, new HashSet<>(), -1, env.nowMillis());
+    listedKeys = 0;
+    readPage(null, new VanishedKeys(replica.keysInOrder()), -1, env.nowMillis());
   }
 
   private void restart(long delayMs) {
@@ -78,7 +81,7 @@
    * @param baseRevision revision at which the first page was read, or -1 for the first page; the
    *     watch then starts there, since later pages show later revisions
    */
-  private void readPage(String afterKey, Set<String> keys, long baseRevision, long startedAt) {
+  private void readPage(String afterKey, VanishedKeys vanished, long baseRevision, long startedAt) {
     store.list(
         afterKey,
         answer -> {
@@ -92,18 +95,19 @@
             String lastKey = afterKey;
             for (JsonNode item : Fields.list(answer.body(), "items")) {
               lastKey = Fields.text(item, "key");
-              keys.add(lastKey);
+              vanished.onListed(lastKey);
+              listedKeys++;
               replica.put(lastKey, item.get("data"), Fields.count(item, "stamp"));
             }
             if (Fields.flag(answer.body(), "hasNext")) {
-              readPage(lastKey, keys, listRevision, startedAt);
+              readPage(lastKey, vanished, listRevision, startedAt);
               return;
             }
-            replica.retain(keys, listRevision);
+            replica.removeVanished(vanished.onEnd(), listRevision);
             replica.advanceTo(listRevision);
             currentAsOf = startedAt;
             synced = true;
-            LOG.info("state service listed at revision {}: {} keys", listRevision, keys.size());
+            LOG.info("state service listed at revision {}: {} keys", listRevision, listedKeys);
             onSynced.run();
             watch();
           } catch (MalformedException e) {
--- a/src/main/java/dunlincroft/bookkeeping/Replica.java
+++ b/src/main/java/dunlincroft/bookkeeping/Replica.java
@@ -5,9 +5,10 @@
 import dunlincroft.protocol.Wire;
 import it.unimi.dsi.fastutil.objects.Object2LongLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
-import java.util.HashSet;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiConsumer;
 
 /**
@@ -195,22 +196,34 @@
         });
   }
 
+  /** Complete keys of everything but final states, in order. */
+  List<String> keysInOrder() {
+    List<String> keys = new ArrayList<>();
+    kinds.forEach(
+        (kind, items) -> {
+          if (!kind.equals(ENDED)) {
+            items.keySet().forEach(name -> keys.add(Wire.key(kind, name)));
+          }
+        });
+    Collections.sort(keys);
+    return keys;
+  }
+
   /**
    * After a complete listing: removes keys that it did not contain, unless they were written after
    * the revision at which it began.
    */
-  void retain(Set<String> keys, long listRevision) {
-    for (String kind : Set.copyOf(kinds.keySet())) {
-      if (kind.equals(ENDED)) {
-        continue;
-      }
-      for (String name : new HashSet<>(items(kind).keySet())) {
-        Item item = get(kind, name);
-        if (item.stamp <= listRevision && !keys.contains(Wire.key(kind, name))) {
-          items(kind).remove(name);
-          listener.accept(kind, name);
-        }
-      }
+  void removeVanished(List<String> keys, long listRevision) {
+    for (String key : keys) {
+      splitKey(
+          key,
+          (kind, name) -> {
+            Item item = get(kind, name);
+            if (item != null && item.stamp <= listRevision) {
+              items(kind).remove(name);
+              listener.accept(kind, name);
+            }
+          });
     }
   }
 }
--- a/src/main/java/dunlincroft/transport/NettyEnv.java
+++ b/src/main/java/dunlincroft/transport/NettyEnv.java
@@ -27,6 +27,10 @@
   private final ReentrantLock lock = new ReentrantLock();
   private final ArrayDeque<Runnable> outbox = new ArrayDeque<>();
   private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+
+  /** Exit code of a process that ends itself after an error. */
+  private static final int EXIT_ON_ERROR = 70;
+
   private final NanoClock monotonicClock;
   private final EpochClock wallClock;
   private final Sockets sockets;
@@ -73,6 +77,8 @@
     } catch (RuntimeException e) {
       // An exception in one event must not end the process: other events can still be handled.
       LOG.error("exception while handling an event", e);
+    } catch (Error e) {
+      endProcess(e);
     } finally {
       sends = outbox.toArray(Runnable[]::new);
       outbox.clear();
@@ -83,6 +89,18 @@
     }
   }
 
+  /**
+   * Ends the process at once after an error such as a full heap, after which no state can be
+   * trusted. The platform starts it again, and the records say what it did.
+   */
+  private static void endProcess(Error error) {
+    try {
+      LOG.error("error while handling an event: the process ends", error);
+    } finally {
+      Runtime.getRuntime().halt(EXIT_ON_ERROR);
+    }
+  }
+
   /** Puts a send into the outbox, until the lock is released; called under the lock only. */
   void sendAfterUnlock(Runnable send) {
     outbox.add(send);
