Tell lasting refusals of the state service from passing ones; size everything by the lower limits

Cause: every 400 was taken for a session that had ended, and repeated unchanged; state.next in the settings was not read. Change: a 400 other than "no such lease" is a lasting refusal (Txn.Outcome INVALID): it is logged once with key and size, and the shard's log goes on in a new slot of half the size. Values and transactions are sized by the lower of state and state.next from the start. The announced rates count for 20 s after each 429. Pages of the time of higher limits are not written while they are too large; they shrink as their tasks end.

--- a/src/main/java/dunlincroft/Settings.java
+++ b/src/main/java/dunlincroft/Settings.java
@@ -31,6 +31,8 @@
     double maxCancellationS,
     double stateRps,
     double stateWriteRps,
+    double nextStateRps,
+    double nextStateWriteRps,
     double maxValueKib,
     int maxTxnOps,
     double cloudRps,
@@ -115,7 +117,9 @@
         positive(workers, "deployment.workers.", "cancel_s"),
         positive(state, "deployment.state.", "rps"),
         positive(state, "deployment.state.", "write_rps"),
-        positive(state, "deployment.state.", "value_kb"),
+        lowestLimit(state, "rps"),
+        lowestLimit(state, "write_rps"),
+        lowestLimit(state, "value_kb"),
         maxTxnOps(state),
         positive(cloud, "deployment.cloud.", "rps"),
         positive(cloud, "deployment.cloud.", "list_lag_s"),
@@ -126,9 +130,21 @@
             () -> Fields.amountOr(deployment, "clock_off_ms", Constants.DEFAULT_CLOCK_OFFSET_MS)));
   }
 
+  /**
+   * The lower of a present limit of the state service and of the one announced under {@code next},
+   * which may come into force at any time without notice.
+   */
+  private static double lowestLimit(JsonNode state, String field) throws MalformedException {
+    double present = positive(state, "deployment.state.", field);
+    JsonNode next = state.path("next");
+    return Fields.isAbsent(next, field)
+        ? present
+        : Math.min(present, positive(next, "deployment.state.next.", field));
+  }
+
   /** The end of a job must fit into one transaction: otherwise it would be retried forever. */
   private static int maxTxnOps(JsonNode state) throws MalformedException {
-    double ops = positive(state, "deployment.state.", "txn_ops");
+    double ops = lowestLimit(state, "txn_ops");
     if (ops < Constants.JOB_END_OPS) {
       throw new MalformedException(
           "deployment.state.txn_ops must be at least " + Constants.JOB_END_OPS);
@@ -233,8 +249,13 @@
   }
 
   /** Number of tasks in a log entry that fits into a slot even with the longest job id. */
-  public int maxTasksPerLogEntry() {
-    return Math.max(1, (logSlotBytes() - 250) / Constants.MAX_PAGE_ENTRY_BYTES);
+  public static int maxTasksPerLogEntry(int slotBytes) {
+    return Math.max(1, (slotBytes - 250) / Constants.MAX_PAGE_ENTRY_BYTES);
+  }
+
+  /** Largest size of a value in the state service, in characters of its JSON text. */
+  public int maxValueBytes() {
+    return (int) (maxValueKib * Constants.BYTES_PER_KIB);
   }
 
   /**
--- a/src/main/java/dunlincroft/bookkeeping/StateStore.java
+++ b/src/main/java/dunlincroft/bookkeeping/StateStore.java
@@ -13,8 +13,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,6 +54,9 @@
   /** An answer with its parsed body; status 0 if there was no usable answer. */
   public record Answer(int status, ObjectNode body) {}
 
+  /** Requests and changes a second that the service allows. */
+  public record Rates(double rps, double writeRps) {}
+
   private record PendingCall(
       Urgency urgency,
       String method,
@@ -62,8 +67,16 @@
       long refuseAtMs,
       Consumer<Answer> then) {}
 
-  /** The session that a change is tied to does not exist. */
-  private static final int NO_SESSION = 400;
+  /** A transaction is malformed or too large, or the session that it names does not exist. */
+  private static final int BAD_REQUEST = 400;
+
+  /** The error of an answer 400 that says that a session does not exist. */
+  private static final String NO_SESSION = "no such lease";
+
+  private static final int MAX_LOGGED_KEYS = 100;
+
+  /** How long after a 429 the lower rates count that the service has announced. */
+  private static final long THROTTLED_MS = 20_000;
 
   private static final int TOO_MANY_REQUESTS = 429;
 
@@ -77,6 +90,16 @@
   private final double rps;
 
   private final double writeRps;
+
+  /** The same while the service rejects calls for their rate. */
+  private final double throttledRps;
+
+  private final double throttledWriteRps;
+  private long throttledUntilMs;
+
+  /** First keys of transactions that were rejected for good: each is logged once. */
+  private final Set<String> loggedKeys = new HashSet<>();
+
   private final TokenBucket requests;
 
   /** Reads that may be sent even while requests are scarce. */
@@ -110,11 +133,22 @@
   private double urgentWritesPerSecond;
 
   public StateStore(Env env, String address, double rps, double writeRps, Replica replica) {
+    this(env, address, new Rates(rps, writeRps), new Rates(rps, writeRps), replica);
+  }
+
+  /**
+   * @param published the rates of the service for all controllers together
+   * @param announced the rates to which the service may change without notice
+   */
+  public StateStore(Env env, String address, Rates published, Rates announced, Replica replica) {
     this.env = env;
     this.dispatcher = new DeferredTask(env, this::dispatch);
     this.address = address;
-    this.rps = rps * Constants.USABLE_RATE_FRACTION;
-    this.writeRps = writeRps * Constants.USABLE_RATE_FRACTION;
+    this.rps = published.rps * Constants.USABLE_RATE_FRACTION;
+    this.writeRps = published.writeRps * Constants.USABLE_RATE_FRACTION;
+    this.throttledRps = Math.min(rps, announced.rps * Constants.USABLE_RATE_FRACTION);
+    this.throttledWriteRps =
+        Math.min(writeRps, announced.writeRps * Constants.USABLE_RATE_FRACTION);
     this.replica = replica;
     this.requests = new TokenBucket(0, this.rps / Constants.BURST_DIVISOR, env.nowMillis());
     this.reservedReads = new TokenBucket(0, 1, env.nowMillis());
@@ -164,18 +198,20 @@
    */
   public void setShare(RateDemand own, List<RateDemand> others) {
     int controllers = others.size() + 1;
-    double floorRequests = rps / Constants.MIN_SHARE_DIVISOR / controllers;
-    double floorWrites = writeRps / Constants.MIN_SHARE_DIVISOR / controllers;
+    long now = env.nowMillis();
+    double usableRps = now < throttledUntilMs ? throttledRps : rps;
+    double usableWriteRps = now < throttledUntilMs ? throttledWriteRps : writeRps;
+    double floorRequests = usableRps / Constants.MIN_SHARE_DIVISOR / controllers;
+    double floorWrites = usableWriteRps / Constants.MIN_SHARE_DIVISOR / controllers;
     double sumRequests = own.requests + controllers * floorRequests;
     double sumWrites = own.writes + controllers * floorWrites;
     for (RateDemand other : others) {
       sumRequests += other.requests;
       sumWrites += other.writes;
     }
-    long now = env.nowMillis();
-    reservedReads.rate(rps * Constants.RESERVED_READS_FRACTION / controllers, now);
-    requests.rate(rps * (own.requests + floorRequests) / sumRequests, now);
-    writes.rate(writeRps * (own.writes + floorWrites) / sumWrites, now);
+    reservedReads.rate(usableRps * Constants.RESERVED_READS_FRACTION / controllers, now);
+    requests.rate(usableRps * (own.requests + floorRequests) / sumRequests, now);
+    writes.rate(usableWriteRps * (own.writes + floorWrites) / sumWrites, now);
   }
 
   /** Number of writes that can be sent now while leaving a reserve for more urgent ones. */
@@ -364,6 +400,7 @@
           if (reply.status() == TOO_MANY_REQUESTS && env.nowMillis() < call.refuseAtMs) {
             // Not executed: all controllers together exceeded the rate. After a pause, the call is
             // retried before others of its urgency.
+            throttledUntilMs = env.nowMillis() + THROTTLED_MS;
             queues.get(call.urgency.ordinal()).addFirst(call);
             (call.writes > 0 ? writes : requests).discardTokens(env.nowMillis());
             dispatcher.schedule(Constants.THROTTLED_PAUSE_MS);
@@ -428,7 +465,10 @@
               answer.body == null ? null : Fields.textsOrNull(answer.body, "failed");
           return new Txn.Result(Txn.Outcome.CONFLICT, 0, failed == null ? List.of() : failed);
         }
-        case NO_SESSION, 429, 503 -> {
+        case BAD_REQUEST -> {
+          return new Txn.Result(badRequestOutcome(txn, answer), 0, List.of());
+        }
+        case 429, 503 -> {
           return new Txn.Result(Txn.Outcome.REFUSED, 0, List.of());
         }
         default -> {
@@ -441,6 +481,25 @@
     }
   }
 
+  /** A session that has ended can be replaced; anything else is wrong with the transaction. */
+  private Txn.Outcome badRequestOutcome(Txn txn, Answer answer) {
+    String error = answer.body == null ? "" : answer.body.path("error").asText();
+    if (error.equals(NO_SESSION)) {
+      return Txn.Outcome.REFUSED;
+    }
+    String firstKey = txn.ops().isEmpty() ? "none" : txn.ops().get(0).key();
+    if (loggedKeys.size() >= MAX_LOGGED_KEYS || !loggedKeys.add(firstKey)) {
+      return Txn.Outcome.INVALID;
+    }
+    LOG.error(
+        "transaction of {} changes and {} characters rejected for good: {}; first key {}",
+        txn.size(),
+        txn.toNode().toString().length(),
+        error,
+        firstKey);
+    return Txn.Outcome.INVALID;
+  }
+
   /** Reads one key directly from the state service. */
   public void get(String key, Consumer<Answer> then) {
     submit(
--- a/src/main/java/dunlincroft/bookkeeping/Txn.java
+++ b/src/main/java/dunlincroft/bookkeeping/Txn.java
@@ -17,8 +17,10 @@
     OK,
     /** At least one guard did not match; nothing was applied. */
     CONFLICT,
-    /** Rejected or never sent: certainly not applied. */
+    /** Rejected or never sent: certainly not applied. It may succeed later. */
     REFUSED,
+    /** Rejected for its form or size: sent unchanged, it would be rejected again. */
+    INVALID,
     /** No usable answer: it may have been applied or may still be. */
     UNKNOWN
   }
--- a/src/main/java/dunlincroft/coordination/Controller.java
+++ b/src/main/java/dunlincroft/coordination/Controller.java
@@ -57,7 +57,11 @@
     JobIndex jobIndex = new JobIndex(replica);
     StateStore store =
         new StateStore(
-            env, settings.stateEndpoint(), settings.stateRps(), settings.stateWriteRps(), replica);
+            env,
+            settings.stateEndpoint(),
+            new StateStore.Rates(settings.stateRps(), settings.stateWriteRps()),
+            new StateStore.Rates(settings.nextStateRps(), settings.nextStateWriteRps()),
+            replica);
     cluster = new ClusterState(settings, policy, env, store, replica, jobIndex);
     metrics = new Metrics(env::wallMillis);
     cluster.metrics = metrics;
--- a/src/main/java/dunlincroft/coordination/PlacementLog.java
+++ b/src/main/java/dunlincroft/coordination/PlacementLog.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlincroft.Constants;
+import dunlincroft.Settings;
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.bookkeeping.StateStore;
 import dunlincroft.bookkeeping.StateStore.Urgency;
@@ -190,7 +191,7 @@
     if (!log.hasCurrentSlot()) {
       log.advanceSlot(oldestUncoveredEntry(log.shard));
     }
-    int maxSlotBytes = cluster.settings.logSlotBytes();
+    int maxSlotBytes = Math.min(log.maxSlotBytes(), cluster.settings.logSlotBytes());
     int maxGuards = Constants.GUARDS_PER_OP * cluster.settings.maxTxnOps() - 2;
     long entryNumber = log.nextEntryNumber();
     List<JobUpdate> updates = new ArrayList<>();
@@ -211,7 +212,7 @@
           usedBytes = log.currentSlotBytes();
         }
         if (usedBytes + entryBytes > maxSlotBytes) {
-          update = job.record.nextUpdate(cluster.settings.maxTasksPerLogEntry());
+          update = job.record.nextUpdate(Settings.maxTasksPerLogEntry(maxSlotBytes));
           entry = update.toLogEntry(entryNumber);
           entryBytes = entry.toString().length() + 1;
         }
@@ -251,6 +252,10 @@
           switch (result.outcome()) {
             case OK -> onWriteCommitted(log, entryNumber, slot, result.revision(), updates);
             case REFUSED -> onWriteRejected(log, updates);
+            case INVALID -> {
+              log.onSlotTooLarge();
+              onWriteRejected(log, updates);
+            }
             case CONFLICT -> {
               onConflict(result.failedKeys());
               reread(log, entryNumber, slot, updates);
@@ -354,7 +359,11 @@
     int txnBytes = 0;
     for (JobPage page : candidates) {
       ObjectNode record = page.record(log.lastSettledEntry).toNode();
-      txnBytes += record.toString().length();
+      int pageBytes = record.toString().length();
+      if (pageBytes > cluster.settings.maxValueBytes()) {
+        continue; // A page of the time of higher limits; it shrinks as its tasks end.
+      }
+      txnBytes += pageBytes;
       if (pages.size() >= maxPages || (!pages.isEmpty() && txnBytes > Constants.MAX_TXN_BYTES)) {
         break;
       }
--- a/src/main/java/dunlincroft/coordination/ShardLog.java
+++ b/src/main/java/dunlincroft/coordination/ShardLog.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dunlincroft.Constants;
 import dunlincroft.bookkeeping.JobIndex;
 import dunlincroft.bookkeeping.Replica;
 import dunlincroft.protocol.Cbor;
@@ -42,6 +43,9 @@
     }
   }
 
+  /** Slots never become smaller than this, in characters: an entry must fit. */
+  private static final int MIN_SLOT_BYTES = 512;
+
   final String shard;
 
   /** Stamp of the shard's record under which this controller owns the shard and its log. */
@@ -55,6 +59,9 @@
   /** All entries up to this number are known to be recorded, or never will be. */
   long lastSettledEntry;
 
+  /** Largest size of a slot that the state service has not rejected yet. */
+  private int maxSlotBytes = Constants.MAX_LOG_SLOT_BYTES;
+
   private final TreeMap<Integer, Slot> slots = new TreeMap<>();
   private Slot currentSlot;
   private long lastEntryNumber;
@@ -107,6 +114,20 @@
     currentSlot.entries = Cbor.map().putArray("log");
   }
 
+  /**
+   * The state service has rejected a write of the current slot for its size: no slot will be as
+   * large again, and the log goes on in another one.
+   */
+  void onSlotTooLarge() {
+    maxSlotBytes = Math.max(MIN_SLOT_BYTES, maxSlotBytes / 2);
+    currentSlot = null;
+  }
+
+  /** Largest size of a slot, in characters. */
+  int maxSlotBytes() {
+    return maxSlotBytes;
+  }
+
   boolean hasCurrentSlot() {
     return currentSlot != null;
   }
--- a/src/test/java/dunlincroft/SettingsTest.java
+++ b/src/test/java/dunlincroft/SettingsTest.java
@@ -50,6 +50,20 @@
         .hasMessageContaining(field);
   }
 
+  @Test
+  void sizesAreThoseOfTheLowerLimits() throws MalformedException {
+    Settings settings =
+        Settings.parse(
+            VALID.replace(
+                "\"txn_ops\":8",
+                "\"txn_ops\":8,\"next\":{\"value_kb\":2.0,\"txn_ops\":5,\"write_rps\":40}"));
+    assertThat(settings.maxValueKib()).isEqualTo(2);
+    assertThat(settings.maxTxnOps()).isEqualTo(5);
+    assertThat(settings.stateWriteRps()).isEqualTo(60);
+    assertThat(settings.nextStateWriteRps()).isEqualTo(40);
+    assertThat(settings.nextStateRps()).isEqualTo(200);
+  }
+
   @Test
   void malformedJsonIsReportedWithItsLine() {
     assertThatThrownBy(() -> Settings.parse("{\n \"a\": }")).hasMessageContaining("line 2");
--- a/src/test/java/dunlincroft/bookkeeping/StateStoreTest.java
+++ b/src/test/java/dunlincroft/bookkeeping/StateStoreTest.java
@@ -12,6 +12,8 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class StateStoreTest {
   private static final double WRITE_RPS = 30;
@@ -125,4 +127,20 @@
     assertThat(refused).isZero();
     assertThat(store.waitingCalls()).isEqualTo(1);
   }
+
+  /** A session that ended can be replaced; a transaction that is too large never succeeds. */
+  @ParameterizedTest
+  @CsvSource({"no such lease, REFUSED", "value too large, INVALID", "'', INVALID"})
+  void badRequestIsPassingOnlyForWantOfASession(String error, Txn.Outcome expected) {
+    env.status = 400;
+    env.body = Cbor.bytes(Cbor.map().put("error", error));
+    env.now += 1000;
+    List<Txn.Outcome> outcomes = new ArrayList<>();
+    store.commit(
+        Urgency.HANDS,
+        new Txn().put("d/k/1", Cbor.map()),
+        result -> outcomes.add(result.outcome()));
+    env.run();
+    assertThat(outcomes).containsExactly(expected);
+  }
 }
