The change feed goes on after an exception in what listens to it

Suspected by reading, now shown: a RuntimeException in a listener ended the watch for good; a barrier that met one left its waiters without an answer, and a listing that met one was never continued. The process lived on with an old replica. Change: the exception is logged, and the changes or the listing are read again; what the replica holds already is passed over.

--- a/src/main/java/dunlincroft/bookkeeping/ChangeFeed.java
+++ b/src/main/java/dunlincroft/bookkeeping/ChangeFeed.java
@@ -20,6 +20,9 @@
 public final class ChangeFeed {
   private static final Logger LOG = LoggerFactory.getLogger(ChangeFeed.class);
 
+  /** Pause before a listing that has failed is begun anew, in milliseconds. */
+  private static final long LISTING_RETRY_MS = 300;
+
   private final Env env;
   private final StateStore store;
   private final Replica replica;
@@ -87,7 +90,7 @@
         answer -> {
           try {
             if (answer.status() != 200) {
-              restart(300);
+              restart(LISTING_RETRY_MS);
               return;
             }
             long revision = Fields.count(answer.body(), "epoch");
@@ -112,7 +115,10 @@
             watch();
           } catch (MalformedException e) {
             LOG.info("malformed listing from the state service: {}", e.getMessage());
-            restart(300);
+            restart(LISTING_RETRY_MS);
+          } catch (RuntimeException e) {
+            LOG.error("exception while taking in a listing; listing all keys again", e);
+            restart(LISTING_RETRY_MS);
           }
         });
   }
@@ -160,6 +166,10 @@
     } catch (MalformedException e) {
       LOG.info("malformed changes from the state service: {}", e.getMessage());
       return false;
+    } catch (RuntimeException e) {
+      // The changes are read again. Those that are in the replica already are passed over.
+      LOG.error("exception while taking in changes", e);
+      return false;
     }
   }
 
