--- a/src/test/java/dunlincroft/sim/SimState.java
+++ b/src/test/java/dunlincroft/sim/SimState.java
@@ -62,6 +62,14 @@
 
   int rejectedCancels;
 
+  /** Limits of a value, in characters, and of the changes in a transaction. */
+  int maxValueChars = Integer.MAX_VALUE;
+
+  int maxTxnOps = Integer.MAX_VALUE;
+
+  /** Transactions rejected because of these limits. */
+  int rejectedAsTooLarge;
+
   /** Number of changes kept; readers that are further behind get 410. */
   int maxChanges = 10_000;
 
@@ -139,6 +147,14 @@
     }
   }
 
+  private boolean isTooLarge(ObjectNode body) {
+    boolean hasLargeValue = false;
+    for (JsonNode op : body.path("apply")) {
+      hasLargeValue |= op.path("data").toString().length() > maxValueChars;
+    }
+    return hasLargeValue || body.path("apply").size() > maxTxnOps;
+  }
+
   void handle(String method, String uri, ObjectNode body, SimNet.Responder responder) {
     requestCount++;
     if (down && !uri.startsWith("/changes")) {
@@ -154,7 +170,10 @@
         query.put(pair.substring(0, eq), pair.substring(eq + 1));
       }
     }
-    if (path.equals("/multi")) {
+    if (path.equals("/multi") && isTooLarge(body)) {
+      rejectedAsTooLarge++;
+      responder.send(400, Cbor.map().put("error", "too large"));
+    } else if (path.equals("/multi")) {
       transact(body, responder);
     } else if (path.equals("/holds")) {
       long durationMs = body.path("lifeMs").asLong();
