Refuse a report with a negative task number

Suspected by reading: a report of an ended task with a negative number threw an IndexOutOfBoundsException while the report was handled, after part of it had been taken in. It is malformed now and refused as a whole (CodecTest).

--- a/src/main/java/dunlincroft/protocol/WorkerReport.java
+++ b/src/main/java/dunlincroft/protocol/WorkerReport.java
@@ -69,17 +69,25 @@
         || (sessionNumber == otherSessionNumber && counter > otherCounter);
   }
 
+  private static int taskNumber(String text) throws MalformedException {
+    int number;
+    try {
+      number = Integer.parseInt(text);
+    } catch (NumberFormatException e) {
+      number = -1;
+    }
+    if (number < 0) {
+      throw new MalformedException("piece must have the form run-000412/3");
+    }
+    return number;
+  }
+
   public static WorkerReport parse(JsonNode map) throws MalformedException {
     List<TaskReport> tasks = new ArrayList<>();
     for (JsonNode item : Fields.list(map, "pieces")) {
       String id = Fields.text(item, "piece");
       int slash = id.lastIndexOf('/');
-      int task;
-      try {
-        task = Integer.parseInt(id.substring(slash + 1));
-      } catch (NumberFormatException e) {
-        throw new MalformedException("piece must have the form run-000412/3");
-      }
+      int task = taskNumber(id.substring(slash + 1));
       tasks.add(
           new TaskReport(
               id,
--- a/src/test/java/dunlincroft/protocol/CodecTest.java
+++ b/src/test/java/dunlincroft/protocol/CodecTest.java
@@ -107,6 +107,26 @@
         .isEqualTo(new BlockRecord("croft-0", spot, Map.of("host-000009", 7L)));
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"run-1/-3", "run-1/", "run-1/x", "run-1/4294967295"})
+  void reportWithAnImpossibleTaskNumberIsMalformed(String task) {
+    ObjectNode report =
+        Cbor.map()
+            .put("host", "h")
+            .put("endpoint", "h:1")
+            .put("flavour", "g8")
+            .put("hall", "a")
+            .put("lendable", true)
+            .put("tenure", 1)
+            .put("counter", 1)
+            .put("fence", 1);
+    ObjectNode item = report.putArray("pieces").addObject().put("piece", task);
+    item.put("try", 1).put("status", "exited").put("cause", "done");
+    assertThatThrownBy(() -> WorkerReport.parse(report))
+        .isInstanceOf(MalformedException.class)
+        .hasMessageContaining("piece");
+  }
+
   @Property(seed = "13", tries = 500)
   void arbitraryBytesOnlyFailToParse(@ForAll byte[] bytes) {
     try {
