Ask the records themselves before a fence is raised without a write

Found on reading the whole change: the owner was asked of the node's own list of shards, which follows the records by a listener. An exception between the two would have let a deposed owner raise a fence to a revision above its successor's. The stamps of the shard and the block in the replica are compared now.

--- a/src/main/java/dunlincroft/coordination/FenceRaiser.java
+++ b/src/main/java/dunlincroft/coordination/FenceRaiser.java
@@ -28,12 +28,7 @@
    */
   boolean raiseToReadRevision(Machine machine) {
     long revision = cluster.replica.revision();
-    BlockIndex.Block block = cluster.blocks.blockOf(machine.host);
-    boolean isOwner =
-        cluster.owns(machine.shard)
-            && block != null
-            && block.record().shard().equals(machine.shard);
-    if (!isOwner || revision <= cluster.fenceToken(machine)) {
+    if (revision <= cluster.fenceToken(machine) || !isOwnerByRecords(machine)) {
       return false;
     }
     machine.readFence = revision;
@@ -41,6 +36,20 @@
     return true;
   }
 
+  /**
+   * Whether the records as they were read name this node as the owner, whatever follows from them
+   * has been done already.
+   */
+  private boolean isOwnerByRecords(Machine machine) {
+    BlockIndex.Block block = cluster.blocks.blockOf(machine.host);
+    return cluster.owns(machine.shard)
+        && cluster.replica.stamp(Replica.SHARDS, machine.shard)
+            == cluster.ownedShards.getLong(machine.shard)
+        && block != null
+        && block.record().shard().equals(machine.shard)
+        && cluster.replica.stamp(Replica.BLOCKS, block.name()) == block.stamp();
+  }
+
   /**
    * Rewrites the block record: its new stamp is the new fence, and commands still in flight under
    * the older one become void.
