--- a/src/test/java/dunlincroft/sim/RepeatedCommandsTest.java
+++ b/src/test/java/dunlincroft/sim/RepeatedCommandsTest.java
@@ -50,6 +50,16 @@
     return cluster;
   }
 
+  private static SimCluster clusterWithLongJobs(long seed) throws MalformedException {
+    SimCluster cluster = new SimCluster(seed, Policy.DEFAULT, Size.FLEET);
+    cluster.checks.setFaultsEnd(FAULTS_END_MS);
+    for (int i = 0; i < LONG_JOBS; i++) {
+      JobSpec spec = InvariantsTest.batchJob("run-" + i, "blue", 3, 2, 40, 0);
+      cluster.clock.after(10_000 + 500L * i, () -> cluster.submitAndFollow(spec, 0));
+    }
+    return cluster;
+  }
+
   /** Every few seconds the owner is away for a fraction of a second. */
   private static void restartOwner(SimCluster cluster) {
     for (long at = 20_000; at < FAULTS_END_MS; at += 10_000) {
@@ -111,14 +121,9 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4})
   void taskThatMovedRunsOnOneMachine(long seed) throws MalformedException {
-    SimCluster cluster = new SimCluster(seed, Policy.DEFAULT, Size.FLEET);
+    SimCluster cluster = clusterWithLongJobs(seed);
     RepeatedMessages copies = cluster.net.repeatedMessages;
     copies.onCommandCopy = (host, command) -> countCopiedStarts(cluster, host, command);
-    cluster.checks.setFaultsEnd(FAULTS_END_MS);
-    for (int i = 0; i < LONG_JOBS; i++) {
-      JobSpec spec = InvariantsTest.batchJob("run-" + i, "blue", 3, 2, 40, 0);
-      cluster.clock.after(10_000 + 500L * i, () -> cluster.submitAndFollow(spec, 0));
-    }
     cluster.clock.runUntil(FIRST_SUBMIT_MS);
     makeMachinesSick(cluster);
     cluster.repeatMessages(EnumSet.of(Kind.COMMAND), 1, 16_000, 30_000);
@@ -150,8 +155,9 @@
               InjectedFault.busiestMachines(cluster).forEach(worker -> worker.restart(RESTART_MS)));
     }
     cluster.clock.runUntil(FIRST_SUBMIT_MS);
-    cluster.repeatMessages(EnumSet.of(Kind.COMMAND), 0.3, 16_000, FAULTS_END_MS - FIRST_SUBMIT_MS);
+    cluster.repeatMessages(EnumSet.of(Kind.COMMAND), 1, 16_000, FAULTS_END_MS - FIRST_SUBMIT_MS);
     cluster.clock.runUntil(500_000);
+    assertThat(reachedNewProcess[0]).as("copies that reached a new process").isPositive();
     assertThat(cluster.checks.violations).isEmpty();
     assertThat(cluster.checks.finalStates).as("every job ends").hasSize(JOBS);
   }
@@ -187,14 +193,9 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void restartedWorkerDoesNotStartTasksThatMoved(long seed) throws MalformedException {
-    SimCluster cluster = new SimCluster(seed, Policy.DEFAULT, Size.FLEET);
+    SimCluster cluster = clusterWithLongJobs(seed);
     RepeatedMessages copies = cluster.net.repeatedMessages;
     copies.keepCommands();
-    cluster.checks.setFaultsEnd(FAULTS_END_MS);
-    for (int i = 0; i < LONG_JOBS; i++) {
-      JobSpec spec = InvariantsTest.batchJob("run-" + i, "blue", 3, 2, 40, 0);
-      cluster.clock.after(10_000 + 500L * i, () -> cluster.submitAndFollow(spec, 0));
-    }
     cluster.clock.runUntil(FIRST_SUBMIT_MS);
     makeMachinesSick(cluster);
     for (long at = FIRST_SUBMIT_MS; at < FIRST_SUBMIT_MS + 30_000; at += 500) {
