Count sent orders in one place, and drop what nothing used

Metrics.countSent serves direct commands and answers to heartbeats, which each counted starts and discards. SimState's limit of changes in a transaction was set by no test. LeftWaitingTest submits its bound job in one place. No change of behaviour; no assertion changed.

--- a/src/main/java/dunlincroft/coordination/DirectCommands.java
+++ b/src/main/java/dunlincroft/coordination/DirectCommands.java
@@ -49,7 +49,8 @@
       return;
     }
     machine.session.setCommandInFlight(true);
-    countSent(orders);
+    cluster.metrics.count(Metrics.Event.COMMAND);
+    cluster.metrics.countSent(orders, Metrics.Event.DIRECT_START);
     orders.stream()
         .filter(WorkerOrder::isRun)
         .forEach(order -> machine.session.onDirectStart(order.taskId(), fence));
@@ -67,14 +68,6 @@
         reply -> onReply(machine, fence, lastReport, reply));
   }
 
-  private void countSent(List<WorkerOrder> orders) {
-    int starts = (int) orders.stream().filter(WorkerOrder::isRun).count();
-    cluster.metrics.count(Metrics.Event.COMMAND);
-    cluster.metrics.count(Metrics.Event.DIRECT_START, starts);
-    cluster.metrics.count(
-        Metrics.Event.DISCARD, (int) orders.stream().filter(WorkerOrder::isDiscard).count());
-  }
-
   /**
    * Whether all orders can wait for the next heartbeat: ended tasks may stay in the reports, and
    * discarding them is not worth a call.
--- a/src/main/java/dunlincroft/coordination/HeartbeatHandler.java
+++ b/src/main/java/dunlincroft/coordination/HeartbeatHandler.java
@@ -108,10 +108,7 @@
     }
     long fence = cluster.fenceToken(machine);
     List<WorkerOrder> orders = workerOrders.forMachine(machine, fence, false);
-    int starts = (int) orders.stream().filter(WorkerOrder::isRun).count();
-    int discards = (int) orders.stream().filter(WorkerOrder::isDiscard).count();
-    cluster.metrics.count(Metrics.Event.HEARTBEAT_START, starts);
-    cluster.metrics.count(Metrics.Event.DISCARD, discards);
+    int starts = cluster.metrics.countSent(orders, Metrics.Event.HEARTBEAT_START);
     machine.session.onAnswered(fence, starts > 0, cluster.now());
     return WorkerOrder.body(fence, orders);
   }
--- a/src/main/java/dunlincroft/coordination/Metrics.java
+++ b/src/main/java/dunlincroft/coordination/Metrics.java
@@ -1,7 +1,9 @@
 package dunlincroft.coordination;
 
 import dunlincroft.Constants;
+import dunlincroft.protocol.WorkerOrder;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
@@ -101,12 +103,20 @@
     count(event, 1);
   }
 
-  void count(Event event, int occurrences) {
+  private void count(Event event, int occurrences) {
     if (occurrences > 0) {
       eventCounts.merge(event, occurrences, Integer::sum);
     }
   }
 
+  /** Counts the starts and discards among orders that are sent; returns the number of starts. */
+  int countSent(List<WorkerOrder> orders, Event startEvent) {
+    int starts = (int) orders.stream().filter(WorkerOrder::isRun).count();
+    count(startEvent, starts);
+    count(Event.DISCARD, (int) orders.stream().filter(WorkerOrder::isDiscard).count());
+    return starts;
+  }
+
   /** Counts an event; returns whether it still gets a log line of its own before the summary. */
   boolean countForLine(Event event) {
     count(event);
--- a/src/test/java/dunlincroft/sim/LeftWaitingTest.java
+++ b/src/test/java/dunlincroft/sim/LeftWaitingTest.java
@@ -44,7 +44,9 @@
         .orElseThrow();
   }
 
-  private static void verify(SimCluster cluster, JobSpec job) {
+  private static void verifyThatBoundJobRuns(SimCluster cluster) throws MalformedException {
+    JobSpec job = inZone(InvariantsTest.batchJob("run-bound", "blue", 1, 2, 3, 0));
+    cluster.submitAndFollow(job, 0);
     cluster.clock.runUntil(END_MS);
     assertThat(cluster.checks.violations).isEmpty();
     assertThat(cluster.checks.finalStates).containsEntry(job.ref(), "done");
@@ -57,9 +59,7 @@
     SimWorker machine = onlyMachine(cluster);
     machine.faulty = true;
     cluster.clock.after(6000, () -> machine.faulty = false);
-    JobSpec job = inZone(InvariantsTest.batchJob("run-bound", "blue", 1, 2, 3, 0));
-    cluster.submitAndFollow(job, 0);
-    verify(cluster, job);
+    verifyThatBoundJobRuns(cluster);
   }
 
   @ParameterizedTest
@@ -73,17 +73,13 @@
     }
     cluster.clock.runUntil(TROUBLE_AT_MS + TROUBLE_MS);
     assertThat(onlyMachine(cluster)).isSameAs(machine);
-    JobSpec job = inZone(InvariantsTest.batchJob("run-bound", "blue", 1, 2, 3, 0));
-    cluster.submitAndFollow(job, 0);
-    verify(cluster, job);
+    verifyThatBoundJobRuns(cluster);
   }
 
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void workThatCanGoNowhereElseUsesTheReserveForServices(long seed) throws MalformedException {
     SimCluster cluster = cluster(seed, SimCluster.CPUS_PER_MACHINE - 4);
-    JobSpec job = inZone(InvariantsTest.batchJob("run-bound", "blue", 1, 2, 3, 0));
-    cluster.submitAndFollow(job, 0);
-    verify(cluster, job);
+    verifyThatBoundJobRuns(cluster);
   }
 }
--- a/src/test/java/dunlincroft/sim/SimState.java
+++ b/src/test/java/dunlincroft/sim/SimState.java
@@ -62,12 +62,10 @@
 
   int rejectedCancels;
 
-  /** Limits of a value, in characters, and of the changes in a transaction. */
+  /** Limit of a value, in characters. */
   int maxValueChars = Integer.MAX_VALUE;
 
-  int maxTxnOps = Integer.MAX_VALUE;
-
-  /** Transactions rejected because of these limits. */
+  /** Transactions rejected because of this limit. */
   int rejectedAsTooLarge;
 
   /** Number of changes kept; readers that are further behind get 410. */
@@ -148,11 +146,12 @@
   }
 
   private boolean isTooLarge(ObjectNode body) {
-    boolean hasLargeValue = false;
     for (JsonNode op : body.path("apply")) {
-      hasLargeValue |= op.path("data").toString().length() > maxValueChars;
+      if (op.path("data").toString().length() > maxValueChars) {
+        return true;
+      }
     }
-    return hasLargeValue || body.path("apply").size() > maxTxnOps;
+    return false;
   }
 
   void handle(String method, String uri, ObjectNode body, SimNet.Responder responder) {
